--- a/modules/cli/application/application.cpp
+++ b/modules/cli/application/application.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-const std::array subcommands{
+const std::array own_subcommands{
     subcommand{"serve", "run a router node", run_serve},
     subcommand{"check-config", "check a settings file", run_check_config},
     subcommand{"plan", "create and show plans, add deposits", run_plan},
@@ -20,7 +20,7 @@
     subcommand{"status", "show the state of a node", run_status},
 };
 
-void print_usage(std::ostream& stream)
+void print_usage(std::ostream& stream, const std::vector<subcommand>& subcommands)
 {
     stream << "usage: samphireway SUBCOMMAND [OPTION...]\n";
     for (const subcommand& entry : subcommands) {
@@ -40,13 +40,15 @@
     return exit_bad_arguments;
 }
 
-int run_application(const std::vector<std::string>& arguments)
+int run_application(const std::vector<std::string>& arguments, const std::vector<subcommand>& further)
 {
+    std::vector<subcommand> subcommands(own_subcommands.begin(), own_subcommands.end());
+    subcommands.insert(subcommands.end(), further.begin(), further.end());
     if (arguments.empty()) {
         return report_bad_arguments("a subcommand is required; see --help");
     }
     if (arguments.front() == "--help") {
-        print_usage(std::cout);
+        print_usage(std::cout, subcommands);
         return exit_success;
     }
     if (arguments.front() == "--version") {
--- a/modules/cli/application/application.h
+++ b/modules/cli/application/application.h
@@ -17,8 +17,9 @@
     int (*run)(const std::vector<std::string>& arguments);
 };
 
-/** Runs the program with the arguments after its name and returns the exit code. */
-int run_application(const std::vector<std::string>& arguments);
+/** Runs the program with the arguments after its name and returns the exit code. `further` are subcommands
+ * besides those of this module. */
+int run_application(const std::vector<std::string>& arguments, const std::vector<subcommand>& further = {});
 
 /** Writes one line to standard error and returns the exit code for bad arguments. */
 int report_bad_arguments(const std::string& message);
--- a/modules/core/errors/error.cpp
+++ b/modules/core/errors/error.cpp
@@ -31,6 +31,7 @@
     code_entry{error_code::draining, "draining", 503},
     code_entry{error_code::platform_unavailable, "platform_unavailable", 503},
     code_entry{error_code::duplicate_request, "duplicate_request", 409},
+    code_entry{error_code::history_gone, "history_gone", 410},
     code_entry{error_code::internal, "internal", 500},
 };
 
--- a/modules/core/errors/error.h
+++ b/modules/core/errors/error.h
@@ -28,6 +28,7 @@
     draining,
     platform_unavailable,
     duplicate_request,
+    history_gone, ///< A watch asks for changes that are no longer kept; list again.
     internal
 };
 
--- a/modules/core/log/log.cpp
+++ b/modules/core/log/log.cpp
@@ -61,7 +61,12 @@
                                     << expressions::format_date_time<boost::posix_time::ptime>(
                                            "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
                                     << ' ' << expressions::smessage);
-    boost::log::core::get()->set_filter(expressions::attr<log_level>("Severity") >= minimum);
+    set_log_level(minimum);
+}
+
+void set_log_level(log_level minimum)
+{
+    boost::log::core::get()->set_filter(boost::log::expressions::attr<log_level>("Severity") >= minimum);
 }
 
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields)
--- a/modules/core/log/log.h
+++ b/modules/core/log/log.h
@@ -28,6 +28,9 @@
 */
 void log_event(log_level level, std::string_view event, std::initializer_list<log_field> fields = {});
 
+/** Drops lines below `minimum` from now on. */
+void set_log_level(log_level minimum);
+
 /** Parses `debug`, `info`, `warning` or `error`; returns false for any other word. */
 bool parse_log_level(std::string_view word, log_level& level);
 
--- /dev/null
+++ b/modules/gateway/control/budget_supply.cpp
@@ -0,0 +1,119 @@
+#include "gateway/control/budget_supply.h"
+
+namespace samphireway::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+constexpr milliseconds deposit_retry{400};
+// Near a plan's end and in its tail holders keep less, so that what is left reaches the node that needs it.
+constexpr std::chrono::seconds end_phase{6};
+constexpr std::chrono::seconds end_piece{1};
+constexpr std::chrono::seconds tail_phase{1};
+constexpr std::chrono::seconds kept_when_others_lack{2};
+
+} // namespace
+
+budget_supply::budget_supply(budget_supply_options given)
+    : options(std::move(given)), account(this->purse_options_of()),
+      controller(this->account, this->controller_options())
+{
+}
+
+budget::purse_options budget_supply::purse_options_of()
+{
+    return budget::purse_options{
+        .holder = this->options.holder,
+        .ledger_shards = this->options.budget.ledgers,
+        .draw = budget::draw_options{.horizon = this->options.budget.horizon,
+                                     .end_phase = end_phase,
+                                     .end_piece = end_piece,
+                                     .tail = tail_phase,
+                                     .kept_for_own_use = kept_when_others_lack,
+                                     .minimum_draw = this->options.budget.minimum_draw_tokens},
+        .on_shortage = [this] { this->controller.request_tick(); },
+        .calls = budget::call_limits_for(this->options.budget.ledgers)};
+}
+
+budget::budget_controller_options budget_supply::controller_options()
+{
+    return budget::budget_controller_options{
+        .store = this->options.store,
+        .run_blocking =
+            [this](std::function<void()> task) {
+                if (!this->workers.submit(std::move(task))) {
+                    core::log_event(core::log_level::error, "ledger_write_not_started",
+                                    {{"reason", "the worker queue is full or closed"}});
+                }
+            },
+        .run_control =
+            [this](std::function<void()> task) {
+                this->options.run_control([this, task = std::move(task)] {
+                    task();
+                    this->options.on_change();
+                });
+            }};
+}
+
+void budget_supply::set_deposits(std::map<std::string, std::int64_t> totals)
+{
+    if (totals == this->wanted_totals) {
+        return;
+    }
+    this->wanted_totals = std::move(totals);
+    this->are_totals_stored = false;
+    this->store_again_at = {};
+    this->tick(clock::now());
+}
+
+void budget_supply::tick(core::steady_time now)
+{
+    this->controller.tick();
+    if (!this->are_totals_stored && !this->is_storing && now >= this->store_again_at) {
+        this->store_totals();
+    }
+}
+
+void budget_supply::store_totals()
+{
+    this->is_storing = true;
+    this->are_totals_stored = true; // A configuration that comes meanwhile clears it again.
+    const bool is_started = this->workers.submit([this, totals = this->wanted_totals] {
+        const core::result<void> stored = store_deposits(this->options.store, this->account, totals);
+        this->options.run_control([this, stored] {
+            this->is_storing = false;
+            if (stored) {
+                this->options.on_change();
+                return;
+            }
+            this->are_totals_stored = false;
+            this->store_again_at = clock::now() + deposit_retry;
+            core::log_event(
+                core::log_level::warning, "deposits_not_stored",
+                {{"code", core::to_string(stored.error().code)}, {"reason", stored.error().message}});
+        });
+    });
+    if (!is_started) {
+        this->is_storing = false;
+        this->are_totals_stored = false;
+    }
+}
+
+void budget_supply::start_drain()
+{
+    this->account.start_drain();
+}
+
+bool budget_supply::is_drained() const
+{
+    return this->account.is_drained();
+}
+
+void budget_supply::stop()
+{
+    this->workers.shutdown();
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/control/budget_supply.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "budget/budget.h"
+#include "core/core.h"
+#include "gateway/control/prepaid_deposits.h"
+#include "settings/settings.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace samphireway::gateway {
+
+/** Options of a budget supply. @see budget_supply */
+struct budget_supply_options {
+    std::string holder; ///< Id of this process's grants; a restarted node has another.
+    platform::object_store store;
+    settings::gateway_budget_settings budget;
+    std::function<void(std::function<void()>)> run_control; ///< Runs a task on the control thread.
+    std::function<void()> on_change; ///< Called after grants may have changed, on the control thread.
+};
+
+/**
+    Keeps a node's grants supplied from the ledgers in the object API, and the ledgers' deposits equal to the
+    configuration. Control thread, except for the purse.
+
+    @see budget::purse
+*/
+class budget_supply {
+public:
+    explicit budget_supply(budget_supply_options given);
+
+    /** Returns the purse from which traffic reserves. */
+    budget::purse& purse() noexcept
+    {
+        return this->account;
+    }
+
+    /** Sets the totals of the newest configuration, by workspace. */
+    void set_deposits(std::map<std::string, std::int64_t> totals);
+
+    /** Starts what is due. */
+    void tick(core::steady_time now);
+
+    /** From now on returns what is free. May be called from any thread. */
+    void start_drain();
+
+    /** Returns whether all grants are settled and returned. May be called from any thread. */
+    bool is_drained() const;
+
+    /** Waits for writes under way. */
+    void stop();
+
+private:
+    budget::purse_options purse_options_of();
+    budget::budget_controller_options controller_options();
+    void store_totals();
+
+    const budget_supply_options options;
+    core::worker_pool workers{core::worker_pool_options{.maximum_threads = 2}};
+    budget::purse account;
+    budget::budget_controller controller;
+    std::map<std::string, std::int64_t> wanted_totals;
+    bool are_totals_stored = true;
+    bool is_storing = false;
+    core::steady_time store_again_at;
+};
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/control/object_follower.cpp
@@ -0,0 +1,67 @@
+#include "gateway/control/object_follower.h"
+
+namespace samphireway::gateway {
+
+object_follower::object_follower(follower_options given) : options(std::move(given)) {}
+
+object_follower::~object_follower()
+{
+    this->stop();
+}
+
+void object_follower::start()
+{
+    this->thread = std::thread([this] { this->run(); });
+}
+
+void object_follower::stop()
+{
+    this->is_stopping = true;
+    this->wake.notify_all();
+    if (this->thread.joinable()) {
+        this->thread.join();
+    }
+}
+
+void object_follower::run()
+{
+    while (!this->is_stopping) {
+        core::result<followed_batch> next = this->read_next();
+        if (next) {
+            this->is_listed = true;
+            this->revision = next->batch.revision;
+            this->options.on_batch(std::move(*next));
+            continue;
+        }
+        if (this->is_stopping) {
+            return;
+        }
+        this->options.on_failure(next.error());
+        if (next.error().code == core::error_code::history_gone) {
+            this->is_listed = false;
+            continue;
+        }
+        this->pause();
+    }
+}
+
+core::result<followed_batch> object_follower::read_next()
+{
+    core::result<platform::watch_batch> batch =
+        this->is_listed
+            ? this->options.store.watch(this->options.prefix, this->revision,
+                                        std::chrono::steady_clock::now() + this->options.watch_wait)
+            : this->options.store.list(this->options.prefix);
+    if (!batch) {
+        return tl::unexpected(batch.error());
+    }
+    return followed_batch{.batch = std::move(*batch), .is_full_list = !this->is_listed};
+}
+
+void object_follower::pause()
+{
+    std::unique_lock lock(this->mutex);
+    this->wake.wait_for(lock, this->options.retry_pause, [this] { return this->is_stopping.load(); });
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/control/upstream_tracker.cpp
@@ -0,0 +1,136 @@
+#include "gateway/control/upstream_tracker.h"
+
+#include <set>
+#include <vector>
+
+namespace samphireway::gateway {
+
+namespace {
+
+// Living upstreams are registered again within two seconds of the object API's return.
+constexpr std::chrono::milliseconds return_time{2200};
+
+std::string id_of(const std::string& key)
+{
+    return key.substr(key.rfind('/') + 1);
+}
+
+} // namespace
+
+upstream_tracker::upstream_tracker(upstream_reader given) : read(std::move(given)) {}
+
+bool upstream_tracker::apply(const followed_batch& received, core::steady_time now)
+{
+    if (!this->is_in_contact) {
+        this->is_in_contact = true;
+        this->hold_until = now + return_time;
+    }
+    bool is_changed = false;
+    std::set<std::string> seen;
+    for (const platform::object& object : received.batch.changed) {
+        const std::string id = id_of(object.key);
+        if (object.value.isNull()) {
+            is_changed = this->remove(id, now) || is_changed;
+            continue;
+        }
+        core::result<upstream> entry = this->read(object);
+        if (!entry) {
+            core::log_event(core::log_level::warning, "upstream_entry_unusable",
+                            {{"upstream", id}, {"reason", entry.error().message}});
+            is_changed = this->drop(id, "unusable_entry") || is_changed;
+            continue;
+        }
+        seen.insert(id);
+        is_changed = this->set(std::move(*entry)) || is_changed;
+    }
+    if (received.is_full_list) {
+        std::vector<std::string> missing;
+        for (const auto& [id, known] : this->entries) {
+            if (!seen.contains(id)) {
+                missing.push_back(id);
+            }
+        }
+        for (const std::string& id : missing) {
+            is_changed = this->remove(id, now) || is_changed;
+        }
+    }
+    return is_changed;
+}
+
+void upstream_tracker::lost_contact(core::steady_time now)
+{
+    this->is_in_contact = false;
+    for (auto& [id, known] : this->entries) {
+        if (known.missing_until) {
+            known.missing_until = now + return_time; // Its upstream could not register again meanwhile.
+        }
+    }
+}
+
+bool upstream_tracker::expire(core::steady_time now)
+{
+    if (!this->is_in_contact) {
+        return false;
+    }
+    std::vector<std::string> gone;
+    for (const auto& [id, known] : this->entries) {
+        if (known.missing_until && now >= *known.missing_until) {
+            gone.push_back(id);
+        }
+    }
+    for (const std::string& id : gone) {
+        this->drop(id, "missing_after_outage");
+    }
+    return !gone.empty();
+}
+
+std::shared_ptr<const upstream_table> upstream_tracker::table() const
+{
+    auto result = std::make_shared<upstream_table>();
+    for (const auto& [id, known] : this->entries) {
+        result->by_service[known.entry->service].push_back(known.entry);
+    }
+    return result;
+}
+
+bool upstream_tracker::set(upstream entry)
+{
+    tracked& known = this->entries[entry.id];
+    known.missing_until.reset();
+    if (known.entry != nullptr && *known.entry == entry) {
+        return false;
+    }
+    core::log_event(core::log_level::info, "upstream_known",
+                    {{"upstream", entry.id},
+                     {"service", entry.service},
+                     {"address", entry.address},
+                     {"version", entry.version},
+                     {"draining", entry.is_draining ? "true" : "false"}});
+    known.entry = std::make_shared<const upstream>(std::move(entry));
+    return true;
+}
+
+bool upstream_tracker::remove(const std::string& id, core::steady_time now)
+{
+    const auto found = this->entries.find(id);
+    if (found == this->entries.end()) {
+        return false;
+    }
+    if (now < this->hold_until && !found->second.entry->is_draining) {
+        found->second.missing_until = this->hold_until;
+        core::log_event(core::log_level::info, "upstream_missing", {{"upstream", id}});
+        return false;
+    }
+    return this->drop(id, "removed");
+}
+
+bool upstream_tracker::drop(const std::string& id, std::string_view reason)
+{
+    if (this->entries.erase(id) == 0) {
+        return false;
+    }
+    core::log_event(core::log_level::info, "upstream_gone", {{"upstream", id}, {"reason", reason}});
+    return true;
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/exchange/exchange.cpp
@@ -0,0 +1,592 @@
+#include "gateway/exchange/exchange.h"
+
+#include "gateway/placement/placement.h"
+
+#include <algorithm>
+
+namespace samphireway::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+constexpr std::size_t maximum_whole_response = 16U << 20U;
+// A requester that reads slower than its upstream writes holds at most about this much of a stream here.
+constexpr std::size_t maximum_queued_bytes = 256U << 10U;
+// A requester waits this long for a draw at most; the store answers within milliseconds when it is up.
+constexpr milliseconds budget_wait{600};
+// Expected time until a refused request finds a place: about one engine step of a full batch's requests.
+constexpr milliseconds expected_place{300};
+// Time in which a node learns of routes and upstreams after its start.
+constexpr milliseconds expected_start{400};
+constexpr std::int64_t logged_share = 16; ///< One of this many plain successes is logged.
+constexpr unsigned first_error_status = 400;
+
+bool is_promise(unsigned status)
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+/** Returns the hash of the parts of a prompt that other requests share: all but the last one. */
+std::optional<std::uint64_t> hash_shared_parts(const std::vector<prompt_part>& parts)
+{
+    if (parts.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t shared = std::max<std::size_t>(1, parts.size() - 1);
+    std::string key;
+    for (std::size_t index = 0; index < shared; ++index) {
+        key += parts[index].id + ',';
+    }
+    return core::hash64(key);
+}
+
+response_head refusal_head(const core::error& cause, milliseconds advice)
+{
+    response_head head{.status = static_cast<unsigned>(core::http_status(cause.code)), .reason = {}};
+    head.headers.emplace_back("Content-Type", "application/json");
+    head.headers.emplace_back("Samphireway-Verdict", std::string(core::to_string(cause.run)));
+    if (is_promise(head.status)) {
+        const std::string fraction = std::to_string(1000 + advice.count() % 1000).substr(1);
+        head.headers.emplace_back("Retry-After", std::to_string(advice.count() / 1000) + "." + fraction);
+    }
+    return head;
+}
+
+std::string refusal_body(const core::error& cause)
+{
+    Json::Value body;
+    body["error"]["code"] = std::string(core::to_string(cause.code));
+    body["error"]["message"] = cause.message;
+    body["error"]["verdict"] = std::string(core::to_string(cause.run));
+    return core::write_json(body);
+}
+
+} // namespace
+
+exchange::exchange(gateway_context& shared, request_message received, responder answer,
+                   core::steady_time arrived_at)
+    : context(shared), request(std::move(received)), requester(std::move(answer)), arrival(arrived_at),
+      deadline_timer(shared.io), silence_timer(shared.io)
+{
+}
+
+void exchange::start()
+{
+    ++this->context.counts.requests_in_flight;
+    const core::result<void> resolved = this->resolve();
+    if (!resolved) {
+        this->refuse(resolved.error());
+        return;
+    }
+    this->arm_deadline();
+    this->reserve_budget();
+}
+
+core::result<void> exchange::resolve()
+{
+    this->history.deadline = this->arrival + std::chrono::seconds(1);
+    core::result<request_facts> read = this->context.dialect.read_request(this->request.headers);
+    if (!read) {
+        return tl::unexpected(read.error());
+    }
+    this->facts = std::move(*read);
+    this->selector = core::hash64(this->facts.attempt_id);
+    this->table = this->context.board.routes.read();
+    if (this->table == nullptr) {
+        return tl::unexpected(core::error{.code = core::error_code::platform_unavailable,
+                                          .message = "no configuration is known yet",
+                                          .retry_after = expected_start});
+    }
+    const std::string* host = find_header(this->request.headers, "Host");
+    this->matched = host == nullptr ? nullptr : this->table->find_route(*host, this->request.target);
+    if (this->matched == nullptr || this->matched->shares.empty()) {
+        return core::failure(core::error_code::not_found, "no route matches the host and path");
+    }
+    this->customer = this->table->find_workspace(this->facts.key);
+    if (this->table->needs_key() && !this->matched->is_anonymous && this->customer == nullptr) {
+        return core::failure(core::error_code::unauthenticated, "the key is unknown");
+    }
+    this->history.deadline = this->arrival + std::min(this->matched->timeout,
+                                                      this->facts.time_left.value_or(this->matched->timeout));
+    if (this->context.drain.refuses(clock::now())) {
+        return tl::unexpected(core::error{.code = core::error_code::draining,
+                                          .message = "this node is stopping",
+                                          .retry_after = milliseconds(10)});
+    }
+    this->service_name = choose_service(*this->matched, this->selector);
+    const service* target = this->table->find_service(this->service_name);
+    if (target != nullptr && target->engine) {
+        this->tokens_per_event = target->engine->tokens_per_event;
+    }
+    this->prefix = hash_shared_parts(this->facts.prompt_parts);
+    return {};
+}
+
+void exchange::reserve_budget()
+{
+    const std::int64_t tokens = this->facts.maximum_tokens();
+    if (this->customer == nullptr || !this->customer->prepaid_tokens || tokens <= 0) {
+        this->begin_attempt();
+        return;
+    }
+    const core::steady_time now = clock::now();
+    this->context.waiters.reserve(
+        this->customer->name, tokens, now, std::min(this->history.deadline, now + budget_wait),
+        [self = this->shared_from_this()](core::result<budget::reservation> outcome) {
+            if (self->is_finished) {
+                if (outcome) {
+                    self->context.purse.settle(*outcome, 0);
+                }
+                return;
+            }
+            if (!outcome) {
+                self->refuse(outcome.error());
+                return;
+            }
+            self->reserved = std::move(*outcome);
+            self->begin_attempt();
+        });
+}
+
+void exchange::begin_attempt()
+{
+    const std::shared_ptr<const upstream> target = this->choose();
+    if (target == nullptr) {
+        this->refuse(core::error{.code = core::error_code::no_upstream,
+                                 .message = "no upstream of the service can take the request",
+                                 .retry_after = expected_place});
+        return;
+    }
+    this->send_to(target);
+}
+
+std::shared_ptr<const upstream> exchange::choose()
+{
+    const std::shared_ptr<const upstream_table> known = this->context.board.upstreams.read();
+    if (known == nullptr) {
+        return nullptr;
+    }
+    const auto listed = known->by_service.find(this->service_name);
+    if (listed == known->by_service.end()) {
+        return nullptr;
+    }
+    const core::steady_time now = clock::now();
+    std::vector<std::shared_ptr<const upstream>> usable;
+    std::vector<placement_candidate> candidates;
+    for (const std::shared_ptr<const upstream>& entry : listed->second) {
+        if (entry->is_draining || this->tried.contains(entry->id)) {
+            continue;
+        }
+        const bool is_ejected = this->context.health.is_ejected(entry->id);
+        const bool is_trial = is_ejected && is_idempotent(*this->matched) &&
+                              this->context.health.check(entry->id, now) == routing::health_state::trial;
+        if (is_trial) {
+            return entry;
+        }
+        const upstream_load load = this->context.loads.read(entry->id);
+        usable.push_back(entry);
+        candidates.push_back(
+            placement_candidate{.id = entry->id,
+                                .in_flight = load.in_flight,
+                                .is_same_zone = entry->availability_zone == this->context.availability_zone,
+                                .is_full = now < load.full_until,
+                                .is_suspect = is_ejected});
+    }
+    const std::optional<std::size_t> chosen =
+        choose_upstream(candidates, placement_request{.prefix = this->prefix, .selector = this->selector});
+    return chosen ? usable[*chosen] : nullptr;
+}
+
+void exchange::send_to(const std::shared_ptr<const upstream>& target)
+{
+    this->current = target;
+    this->tried.insert(target->id);
+    this->use = response_use::undecided;
+    this->body.clear();
+    this->context.loads.begin(target->id);
+    const core::steady_time now = clock::now();
+
+    request_message message{.method = this->request.method,
+                            .target = this->request.target,
+                            .headers = this->request.headers,
+                            .body = this->request.body};
+    remove_connection_headers(message.headers);
+    const int priority = this->customer != nullptr && this->customer->priority ? *this->customer->priority
+                                                                               : this->matched->priority;
+    this->context.dialect.write_request(
+        message.headers,
+        forwarding_facts{.time_left = this->time_left(),
+                         .upstream_id = target->id,
+                         .workspace = this->customer == nullptr ? "" : this->customer->name,
+                         .priority = priority,
+                         .last_event_id = this->events.last_id().empty() ? this->facts.last_event_id
+                                                                         : this->events.last_id()});
+    this->connection = this->context.pool.acquire(*target, now);
+    this->arm_silence();
+    const std::shared_ptr<exchange> self = this->shared_from_this();
+    this->connection->send(
+        message,
+        upstream_hooks{.on_head = [self](const response_head& received) { return self->on_head(received); },
+                       .on_body = [self](std::string_view bytes) { self->on_body(bytes); },
+                       .on_end =
+                           [self](upstream_result result) {
+                               self->on_end(result);
+                           }});
+}
+
+response_owner exchange::on_head(const response_head& received)
+{
+    const response_facts read = this->context.dialect.read_response(received);
+    const bool is_unnamed_refusal = read.attempt_id.empty() && (read.is_not_run || read.is_wrong_upstream);
+    if (read.attempt_id != this->facts.attempt_id && !is_unnamed_refusal) {
+        core::log_event(core::log_level::warning, "response_discarded",
+                        {{"request", this->facts.attempt_id},
+                         {"upstream", this->current->id},
+                         {"echoed", read.attempt_id},
+                         {"status", received.status}});
+        return response_owner::earlier_request;
+    }
+    this->use = this->classify(received, read);
+    if (!this->has_begun_stream) {
+        this->head = received;
+    }
+    return response_owner::this_request;
+}
+
+exchange::response_use exchange::classify(const response_head& received, const response_facts& read) const
+{
+    const bool is_success = received.status / 100 == 2;
+    if (read.is_not_run || read.is_wrong_upstream) {
+        return response_use::not_run;
+    }
+    if (is_success && !read.is_signed) {
+        return response_use::unusable;
+    }
+    if (is_success && this->matched->kind == route_kind::stream) {
+        return response_use::pass_stream;
+    }
+    // A status that promises "not run" must not be passed on from an upstream that has not promised it.
+    if (is_promise(received.status) || (this->has_begun_stream && !is_success)) {
+        return response_use::unusable;
+    }
+    return response_use::pass_whole;
+}
+
+void exchange::on_body(std::string_view bytes)
+{
+    this->arm_silence();
+    if (this->use == response_use::pass_stream) {
+        this->pass_events(bytes);
+        return;
+    }
+    if (this->body.size() + bytes.size() > maximum_whole_response) {
+        this->attempt_failed("response_too_large");
+        return;
+    }
+    this->body += bytes;
+}
+
+void exchange::pass_events(std::string_view bytes)
+{
+    std::string whole = this->events.feed(bytes);
+    if (whole.empty()) {
+        return;
+    }
+    if (!this->has_begun_stream) {
+        this->has_begun_stream = true;
+        this->history.has_started = true;
+        this->first_output = clock::now();
+        remove_connection_headers(this->head.headers);
+        this->requester.begin_stream(this->head);
+    }
+    this->requester.send_part(std::move(whole));
+    if (!this->is_finished && this->requester.queued_bytes() > maximum_queued_bytes) {
+        this->is_reading_paused = true;
+        this->connection->pause_reading();
+    }
+}
+
+void exchange::output_drained()
+{
+    if (this->is_reading_paused && this->connection != nullptr) {
+        this->is_reading_paused = false;
+        this->connection->resume_reading();
+    }
+}
+
+void exchange::on_end(upstream_result result)
+{
+    this->silence_timer.cancel();
+    if (result == upstream_result::not_connected) {
+        ++this->history.failed_connects;
+        this->context.health.failed(this->current->id, true, clock::now());
+        this->context.pool.drop(this->current->id);
+        this->attempt_failed("not_connected");
+        return;
+    }
+    ++this->history.sends;
+    if (result == upstream_result::broken) {
+        this->history.may_have_run = true;
+        this->context.health.failed(this->current->id, false, clock::now());
+        this->attempt_failed("broken");
+        return;
+    }
+    this->on_complete();
+}
+
+void exchange::on_complete()
+{
+    const core::steady_time now = clock::now();
+    const response_facts read = this->context.dialect.read_response(this->head);
+    if (this->use == response_use::not_run) {
+        if (read.is_wrong_upstream) {
+            this->context.health.failed(this->current->id, true, now);
+        }
+        else {
+            this->context.loads.refused_as_full(this->current->id, now);
+        }
+        this->release_upstream(true);
+        this->attempt_failed("refused_by_upstream");
+        return;
+    }
+    this->history.may_have_run = true;
+    if (this->use == response_use::unusable) {
+        this->context.health.failed(this->current->id, false, now);
+        this->attempt_failed("unusable_response");
+        return;
+    }
+    this->context.health.succeeded(this->current->id);
+    ++this->context.counts.attempt_results["complete"];
+    if (this->use == response_use::pass_stream) {
+        this->release_upstream(true);
+        this->complete_stream();
+        return;
+    }
+    const bool is_failure = this->head.status / 100 == 5;
+    if (is_failure && may_try_again(*this->matched, this->history, now) == next_attempt::needs_budget &&
+        this->context.retries.has_any(this->service_name)) {
+        this->release_upstream(true);
+        this->attempt_failed("failed_by_upstream");
+        return;
+    }
+    this->release_upstream(true);
+    remove_connection_headers(this->head.headers);
+    this->first_output = now;
+    const unsigned status = this->head.status;
+    const std::shared_ptr<exchange> self = this->shared_from_this();
+    this->finish(status < first_error_status ? "served" : "failed_by_upstream", status, "");
+    this->requester.send_whole(this->head, std::move(this->body));
+}
+
+void exchange::complete_stream()
+{
+    if (!this->has_begun_stream) {
+        remove_connection_headers(this->head.headers);
+        this->requester.begin_stream(this->head);
+        this->has_begun_stream = true;
+    }
+    if (!this->events.partial().empty()) {
+        this->requester.send_part(this->events.partial());
+    }
+    const std::shared_ptr<exchange> self = this->shared_from_this();
+    this->finish("served", this->head.status, "");
+    this->requester.end_stream();
+}
+
+void exchange::attempt_failed(std::string_view cause)
+{
+    const std::shared_ptr<exchange> self = this->shared_from_this();
+    this->silence_timer.cancel();
+    ++this->context.counts.attempt_results[std::string(cause)];
+    core::log_event(core::log_level::info, "attempt_failed",
+                    {{"request", this->facts.attempt_id},
+                     {"upstream", this->current->id},
+                     {"cause", cause},
+                     {"status", this->head.status},
+                     {"sends", this->history.sends},
+                     {"events", this->events.count()},
+                     {"time_left_ms", this->time_left().count()}});
+    this->release_upstream(false);
+    this->events.drop_partial();
+    next_attempt next = may_try_again(*this->matched, this->history, clock::now());
+    if (next == next_attempt::needs_budget && !this->context.retries.spend(this->service_name)) {
+        next = next_attempt::forbidden;
+    }
+    if (next != next_attempt::forbidden) {
+        this->context.counts.retries += this->history.sends > 0 ? 1 : 0;
+        this->context.counts.resumed_streams += this->history.has_started ? 1 : 0;
+        this->begin_attempt();
+        return;
+    }
+    this->refuse(core::error{.code = core::error_code::no_upstream,
+                             .message = "the attempt at an upstream failed: " + std::string(cause),
+                             .retry_after = expected_place});
+}
+
+void exchange::release_upstream(bool is_reusable)
+{
+    if (this->connection == nullptr) {
+        return;
+    }
+    this->context.loads.end(this->current->id);
+    const std::shared_ptr<upstream_connection> ended = std::move(this->connection);
+    this->connection = nullptr;
+    if (is_reusable) {
+        this->context.pool.release(this->current->id, ended, clock::now());
+        return;
+    }
+    ended->close();
+}
+
+void exchange::arm_deadline()
+{
+    this->deadline_timer.expires_at(this->history.deadline);
+    this->deadline_timer.async_wait([self = this->shared_from_this()](boost::system::error_code failure) {
+        if (!failure && !self->is_finished) {
+            self->on_deadline();
+        }
+    });
+}
+
+void exchange::arm_silence()
+{
+    if (!is_idempotent(*this->matched)) {
+        return;
+    }
+    this->silence_timer.expires_after(silence_limit(*this->matched, this->has_begun_stream));
+    this->silence_timer.async_wait([self = this->shared_from_this()](boost::system::error_code failure) {
+        if (!failure && !self->is_finished && self->connection != nullptr) {
+            self->on_silence();
+        }
+    });
+}
+
+void exchange::on_silence()
+{
+    if (this->is_reading_paused) {
+        return;
+    }
+    attempt_history after = this->history;
+    ++after.sends;
+    after.may_have_run = true;
+    const bool may_move = may_try_again(*this->matched, after, clock::now()) == next_attempt::needs_budget &&
+                          this->context.retries.has_any(this->service_name);
+    if (!may_move) {
+        return; // The response may still come before the deadline.
+    }
+    this->history = after;
+    this->context.health.failed(this->current->id, false, clock::now());
+    this->attempt_failed("silent");
+}
+
+void exchange::on_deadline()
+{
+    const bool is_at_upstream = this->connection != nullptr;
+    if (is_at_upstream) {
+        this->context.health.failed(this->current->id, false, clock::now());
+    }
+    this->history.may_have_run = this->history.may_have_run || is_at_upstream;
+    this->refuse(core::error{.code = core::error_code::upstream_timeout,
+                             .message = "no response arrived in time",
+                             .retry_after = expected_place});
+}
+
+void exchange::refuse(const core::error& cause)
+{
+    if (this->is_finished) {
+        return;
+    }
+    const std::shared_ptr<exchange> self = this->shared_from_this();
+    core::error final_cause = cause;
+    final_cause.run = this->history.may_have_run ? core::verdict::may_have_run : core::verdict::not_run;
+    const bool is_server_side = core::http_status(cause.code) >= 500;
+    if (is_server_side && this->history.may_have_run) {
+        final_cause.code =
+            cause.code == core::error_code::upstream_timeout ? cause.code : core::error_code::upstream_failed;
+    }
+    else if (cause.code == core::error_code::upstream_timeout) {
+        final_cause.code = core::error_code::overloaded; // Nothing was sent, so the refusal is a promise.
+    }
+    const milliseconds advice = retry_after(std::max(cause.retry_after, milliseconds(10)),
+                                            std::max(this->time_left(), milliseconds(0)), this->selector);
+    const response_head refusal = refusal_head(final_cause, advice);
+    const bool was_started = this->has_begun_stream;
+    this->finish(was_started ? "broken_off" : "refused", refusal.status, final_cause.message);
+    if (was_started) {
+        this->requester.abort();
+        return;
+    }
+    this->requester.send_whole(refusal, refusal_body(final_cause));
+}
+
+void exchange::requester_left()
+{
+    if (this->is_finished) {
+        return;
+    }
+    const std::shared_ptr<exchange> self = this->shared_from_this();
+    this->history.may_have_run = this->history.may_have_run || this->connection != nullptr;
+    this->finish("requester_left", 0, "the requester closed its connection");
+}
+
+void exchange::finish(std::string_view outcome, unsigned status, std::string_view cause)
+{
+    const core::steady_time now = clock::now();
+    this->is_finished = true;
+    this->deadline_timer.cancel();
+    this->silence_timer.cancel();
+    this->release_upstream(false);
+    this->settle_budget();
+    counters& counts = this->context.counts;
+    --counts.requests_in_flight;
+    ++counts.outcomes[std::string(outcome)];
+    const auto whole = std::chrono::duration_cast<std::chrono::microseconds>(now - this->arrival);
+    counts.whole_request.add(whole);
+    if (this->first_output) {
+        counts.first_event.add(
+            std::chrono::duration_cast<std::chrono::microseconds>(*this->first_output - this->arrival));
+    }
+    const bool is_plain = outcome == "served" && this->history.sends <= 1;
+    if (!this->service_name.empty()) {
+        this->context.retries.earn(this->service_name);
+    }
+    if (is_plain && this->selector % logged_share != 0) {
+        return;
+    }
+    core::log_event(core::log_level::info, "request_ended",
+                    {{"request", this->facts.attempt_id},
+                     {"route", this->matched == nullptr ? "" : this->matched->name},
+                     {"workspace", this->customer == nullptr ? "" : this->customer->name},
+                     {"outcome", outcome},
+                     {"status", status},
+                     {"cause", cause},
+                     {"upstream", this->current == nullptr ? "" : this->current->id},
+                     {"sends", this->history.sends},
+                     {"events", this->events.count()},
+                     {"took_ms", whole.count() / 1000},
+                     {"configuration",
+                      this->table == nullptr ? 0 : static_cast<long long>(this->table->source().version)}});
+}
+
+void exchange::settle_budget()
+{
+    if (!this->reserved) {
+        return;
+    }
+    const bool is_stream = this->matched->kind == route_kind::stream;
+    const std::int64_t delivered =
+        is_stream ? std::min(this->facts.maximum_output_tokens, this->events.count() * this->tokens_per_event)
+                  : this->facts.maximum_output_tokens;
+    const std::int64_t used = this->history.may_have_run ? this->facts.prompt_tokens + delivered : 0;
+    this->context.purse.settle(*this->reserved, used);
+    this->reserved.reset();
+}
+
+milliseconds exchange::time_left() const
+{
+    return std::chrono::duration_cast<milliseconds>(this->history.deadline - clock::now());
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/exchange/gateway_context.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/core.h"
+#include "gateway/exchange/blackboard.h"
+#include "gateway/exchange/budget_waiters.h"
+#include "gateway/exchange/counters.h"
+#include "gateway/exchange/drain_state.h"
+#include "gateway/http/upstream_pool.h"
+#include "gateway/model/header_dialect.h"
+#include "gateway/placement/load_tracker.h"
+#include "routing/routing.h"
+#include "traffic/retry/retry_budget.h"
+
+#include <boost/asio/io_context.hpp>
+#include <string>
+
+namespace samphireway::gateway {
+
+/** What all exchanges of a node share. Traffic thread only, except for the blackboard. @see exchange */
+struct gateway_context {
+    boost::asio::io_context& io;
+    const std::string& availability_zone;
+    const blackboard& board;
+    const header_dialect& dialect;
+    budget::purse& purse;
+    budget_waiters& waiters;
+    routing::health_table& health;
+    traffic::retry_budget& retries; ///< By service.
+    upstream_pool& pool;
+    load_tracker& loads;
+    drain_state& drain;
+    counters& counts;
+};
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/http/front_listener.cpp
@@ -0,0 +1,69 @@
+#include "gateway/http/front_listener.h"
+
+#include "gateway/http/socket_options.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <vector>
+
+namespace samphireway::gateway {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+// Connections that wait to be accepted; beyond it a requester's opening packet is lost for seconds.
+constexpr int accept_backlog = 4096;
+// Pause after a failed accept, mostly for want of descriptors.
+constexpr std::chrono::milliseconds accept_pause{20};
+
+} // namespace
+
+front_listener::front_listener(gateway_context& shared, const tcp::endpoint& address)
+    : context(shared), endpoint(address), acceptor(shared.io)
+{
+}
+
+core::result<void> front_listener::start()
+{
+    core::result<void> listening = listen_on(this->acceptor, this->endpoint, accept_backlog);
+    if (!listening) {
+        return listening;
+    }
+    this->accept();
+    return {};
+}
+
+void front_listener::accept()
+{
+    this->acceptor.async_accept([this](error_code failure, tcp::socket socket) {
+        if (failure == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (failure) {
+            core::log_event(core::log_level::warning, "accept_failed", {{"reason", failure.message()}});
+            auto pause = std::make_shared<boost::asio::steady_timer>(this->context.io, accept_pause);
+            pause->async_wait([this, pause](error_code) { this->accept(); });
+            return;
+        }
+        auto session = std::make_shared<front_session>(this->context, std::move(socket));
+        this->sessions.insert(session);
+        this->context.counts.requester_connections = static_cast<std::int64_t>(this->sessions.size());
+        const std::weak_ptr<front_session> ended = session;
+        session->start([this, ended] {
+            this->sessions.erase(ended.lock());
+            this->context.counts.requester_connections = static_cast<std::int64_t>(this->sessions.size());
+        });
+        this->accept();
+    });
+}
+
+void front_listener::close_idle()
+{
+    const std::vector<std::shared_ptr<front_session>> open(this->sessions.begin(), this->sessions.end());
+    for (const std::shared_ptr<front_session>& session : open) {
+        session->close_if_idle();
+    }
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/http/front_listener.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "gateway/http/front_session.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <set>
+
+namespace samphireway::gateway {
+
+/** Accepts requesters' connections. Traffic thread only. @see front_session */
+class front_listener {
+public:
+    front_listener(gateway_context& shared, const boost::asio::ip::tcp::endpoint& address);
+
+    /** Starts to accept. Fails with `internal` when the address cannot be bound. */
+    core::result<void> start();
+
+    /** Closes connections without a request; further ones are still accepted. */
+    void close_idle();
+
+    /** Returns the number of open connections. */
+    std::size_t open_connections() const noexcept
+    {
+        return this->sessions.size();
+    }
+
+private:
+    void accept();
+
+    gateway_context& context;
+    const boost::asio::ip::tcp::endpoint endpoint;
+    boost::asio::ip::tcp::acceptor acceptor;
+    std::set<std::shared_ptr<front_session>> sessions;
+};
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/http/front_session.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include "gateway/exchange/gateway_context.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+
+namespace samphireway::gateway {
+
+/**
+    One requester's connection: reads requests one after another and writes their responses.
+
+    While a request is being served the connection is watched, so that a requester that leaves is noticed at
+    once. Malformed and ambiguous requests are answered with 400, 408, 413 or 431 and the connection is
+    closed; nothing of them reaches an upstream. Traffic thread only.
+
+    @see exchange, front_listener
+*/
+class front_session : public std::enable_shared_from_this<front_session> {
+public:
+    front_session(gateway_context& shared, boost::asio::ip::tcp::socket connected);
+    ~front_session();
+    front_session(const front_session&) = delete;
+    front_session& operator=(const front_session&) = delete;
+
+    /** Starts to read. `on_closed` is called once when the connection has ended. */
+    void start(std::function<void()> on_closed);
+
+    /** Closes the connection when no request is being read or served. */
+    void close_if_idle();
+
+    /** Closes the connection at once. */
+    void close();
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> state;
+};
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/http/socket_options.cpp
@@ -0,0 +1,58 @@
+#include "gateway/http/socket_options.h"
+
+#include <cerrno>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace samphireway::gateway {
+
+namespace {
+
+void set_option(int descriptor, int level, int option, int value, std::string_view name)
+{
+    if (::setsockopt(descriptor, level, option, &value, sizeof value) != 0 && errno != EINVAL) {
+        core::log_event(core::log_level::warning, "socket_option_refused",
+                        {{"option", name}, {"reason", std::strerror(errno)}});
+    }
+}
+
+} // namespace
+
+void set_socket_options(boost::asio::ip::tcp::socket& socket, const silence_limits& limits)
+{
+    const int descriptor = socket.native_handle();
+    set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1, "TCP_NODELAY");
+    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(limits.unacknowledged.count()),
+               "TCP_USER_TIMEOUT");
+    set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1, "SO_KEEPALIVE");
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(limits.probe_after.count()),
+               "TCP_KEEPIDLE");
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPINTVL, 1, "TCP_KEEPINTVL");
+    set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, limits.probes, "TCP_KEEPCNT");
+}
+
+core::result<void> listen_on(boost::asio::ip::tcp::acceptor& acceptor,
+                             const boost::asio::ip::tcp::endpoint& address, int backlog)
+{
+    boost::system::error_code failure;
+    acceptor.open(address.protocol(), failure);
+    if (!failure) {
+        acceptor.set_option(boost::asio::ip::tcp::acceptor::reuse_address(true), failure);
+    }
+    if (!failure) {
+        acceptor.bind(address, failure);
+    }
+    if (!failure) {
+        acceptor.listen(backlog, failure);
+    }
+    if (failure) {
+        return core::failure(core::error_code::internal, "cannot listen on " + address.address().to_string() +
+                                                             ":" + std::to_string(address.port()) + ": " +
+                                                             failure.message());
+    }
+    return {};
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/http/upstream_connection.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include "core/core.h"
+#include "gateway/model/messages.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace samphireway::gateway {
+
+/** How a request on an upstream's connection ended. @see upstream_hooks */
+enum class upstream_result {
+    complete,      ///< The whole response was received.
+    not_connected, ///< No connection was opened, so no byte of the request was sent.
+    broken         ///< The connection failed or the response was malformed; the request may have run.
+};
+
+/** What becomes of a response. @see upstream_hooks */
+enum class response_owner {
+    this_request,
+    earlier_request ///< A late or extra response; it is discarded and the next one is read.
+};
+
+/** Receives the response of one request. No hook is called after `on_end` or `upstream_connection::close`. */
+struct upstream_hooks {
+    std::function<response_owner(const response_head&)> on_head;
+    std::function<void(std::string_view bytes)> on_body;
+    std::function<void(upstream_result)> on_end;
+};
+
+/**
+    One HTTP/1.1 connection to an upstream: one request at a time, kept open between requests.
+
+    The response is read while the request is still being written, since an upstream may answer early. While
+    idle, the connection closes itself when the upstream closes it or sends bytes that belong to no request.
+    Traffic thread only.
+
+    @see upstream_pool
+*/
+class upstream_connection : public std::enable_shared_from_this<upstream_connection> {
+public:
+    upstream_connection(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint upstream_endpoint);
+    ~upstream_connection();
+    upstream_connection(const upstream_connection&) = delete;
+    upstream_connection& operator=(const upstream_connection&) = delete;
+
+    /** Sends a request, opening the connection first where needed. @pre no request is under way */
+    void send(const request_message& request, upstream_hooks hooks);
+
+    /** Stops reading until `resume_reading`, so that a slow requester does not fill this node's memory. */
+    void pause_reading();
+
+    /** @see pause_reading */
+    void resume_reading();
+
+    /** Closes the connection; an upstream drops the request that is under way. Idempotent. */
+    void close();
+
+    /** Returns whether another request may be sent now. */
+    bool is_reusable(core::steady_time now);
+
+    /** Returns whether the connection was opened for the current request. */
+    bool is_new() const noexcept;
+
+    /** Returns where the connection leads. */
+    const boost::asio::ip::tcp::endpoint& endpoint() const noexcept;
+
+private:
+    class implementation;
+    std::unique_ptr<implementation> state;
+};
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/http/upstream_pool.cpp
@@ -0,0 +1,71 @@
+#include "gateway/http/upstream_pool.h"
+
+#include <set>
+
+namespace samphireway::gateway {
+
+namespace asio = boost::asio;
+
+upstream_pool::upstream_pool(asio::io_context& context) : io(context) {}
+
+std::shared_ptr<upstream_connection> upstream_pool::acquire(const upstream& target, core::steady_time now)
+{
+    boost::system::error_code failure;
+    const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(target.address, failure), target.port);
+    std::vector<std::shared_ptr<upstream_connection>>& kept = this->idle[target.id];
+    while (!kept.empty()) {
+        std::shared_ptr<upstream_connection> connection = std::move(kept.back());
+        kept.pop_back();
+        if (connection->endpoint() == endpoint && connection->is_reusable(now)) {
+            return connection;
+        }
+        connection->close();
+    }
+    ++this->opened_count;
+    return std::make_shared<upstream_connection>(this->io, endpoint);
+}
+
+void upstream_pool::release(const std::string& upstream_id, std::shared_ptr<upstream_connection> connection,
+                            core::steady_time now)
+{
+    if (connection->is_reusable(now)) {
+        this->idle[upstream_id].push_back(std::move(connection));
+        return;
+    }
+    connection->close();
+}
+
+void upstream_pool::drop(const std::string& upstream_id)
+{
+    const auto found = this->idle.find(upstream_id);
+    if (found == this->idle.end()) {
+        return;
+    }
+    for (const std::shared_ptr<upstream_connection>& connection : found->second) {
+        connection->close();
+    }
+    this->idle.erase(found);
+}
+
+void upstream_pool::sweep(const upstream_table& listed, core::steady_time now)
+{
+    std::set<std::string> known;
+    for (const auto& [service, upstreams] : listed.by_service) {
+        for (const std::shared_ptr<const upstream>& entry : upstreams) {
+            known.insert(entry->id);
+        }
+    }
+    for (auto& [id, kept] : this->idle) {
+        const bool is_listed = known.contains(id);
+        std::erase_if(kept, [&, is_listed](const std::shared_ptr<upstream_connection>& connection) {
+            const bool is_usable = is_listed && connection->is_reusable(now);
+            if (!is_usable) {
+                connection->close();
+            }
+            return !is_usable;
+        });
+    }
+    std::erase_if(this->idle, [](const auto& entry) { return entry.second.empty(); });
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/http/upstream_pool.h
@@ -0,0 +1,50 @@
+#pragma once
+
+#include "core/core.h"
+#include "gateway/http/upstream_connection.h"
+#include "gateway/model/upstream.h"
+
+#include <boost/asio/io_context.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace samphireway::gateway {
+
+/**
+    Idle connections to upstreams, most recently used first. Traffic thread only.
+
+    @see upstream_connection
+*/
+class upstream_pool {
+public:
+    explicit upstream_pool(boost::asio::io_context& context);
+
+    /** Returns a reusable connection to an upstream, or a new one that `send` opens. */
+    std::shared_ptr<upstream_connection> acquire(const upstream& target, core::steady_time now);
+
+    /** Keeps a connection whose request has ended, when it can be used again. */
+    void release(const std::string& upstream_id, std::shared_ptr<upstream_connection> connection,
+                 core::steady_time now);
+
+    /** Closes the idle connections to an upstream. */
+    void drop(const std::string& upstream_id);
+
+    /** Closes idle connections that can not be used again, and those to upstreams no longer listed. */
+    void sweep(const upstream_table& listed, core::steady_time now);
+
+    /** Returns the number of connections opened so far. */
+    std::uint64_t opened() const noexcept
+    {
+        return this->opened_count;
+    }
+
+private:
+    boost::asio::io_context& io;
+    std::unordered_map<std::string, std::vector<std::shared_ptr<upstream_connection>>> idle;
+    std::uint64_t opened_count = 0;
+};
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/process/gateway_metrics.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include "gateway/exchange/counters.h"
+#include "gateway/model/upstream.h"
+#include "routing/routing.h"
+
+#include <cstdint>
+#include <string>
+
+namespace samphireway::gateway {
+
+/** Returns a node's counters in text exposition format. */
+std::string write_metrics(const counters& counts, const upstream_table& known,
+                          std::uint64_t opened_connections, const routing::health_table& health);
+
+} // namespace samphireway::gateway
--- a/modules/platform/objects/http_platform.cpp
+++ b/modules/platform/objects/http_platform.cpp
@@ -1,10 +1,9 @@
 #include "platform/objects/http_platform.h"
 
+#include "platform/objects/http_call_pool.h"
+
 #include <algorithm>
 #include <httplib.h>
-#include <mutex>
-#include <set>
-#include <vector>
 
 namespace samphireway::platform {
 
@@ -14,7 +13,6 @@
 constexpr int status_not_found = 404;
 constexpr int status_ok = 200;
 constexpr int status_too_many = 429;
-constexpr std::size_t maximum_idle_connections = 16;
 
 object parse_object(const Json::Value& json)
 {
@@ -52,40 +50,31 @@
     return request.path == "/vms" ? "vms" : "get";
 }
 
-core::verdict verdict_of(httplib::Error error)
-{
-    return error == httplib::Error::Connection ? core::verdict::not_run : core::verdict::may_have_run;
-}
-
 } // namespace
 
 class http_platform::implementation {
 public:
-    explicit implementation(http_platform_options given) : options(std::move(given)) {}
+    explicit implementation(http_platform_options given)
+        : options(std::move(given)),
+          calls(http_call_pool_options{.address = this->options.address,
+                                       .port = this->options.port,
+                                       .connect_timeout = this->options.call_timeout})
+    {
+    }
 
     core::result<httplib::Response> send(const httplib::Request& request, std::chrono::milliseconds timeout)
     {
-        std::unique_ptr<httplib::Client> client = this->take_client();
-        client->set_read_timeout(timeout);
-        if (!this->begin_call(client.get())) {
-            return core::failure(core::error_code::draining, "platform calls are interrupted");
-        }
-        httplib::Result answer = client->send(request);
-        this->end_call(client.get());
-        this->options.on_call(call_kind(request), !answer || answer->status >= status_too_many);
-        if (!answer) {
-            return core::failure(core::error_code::platform_unavailable,
-                                 "platform call failed: " + httplib::to_string(answer.error()),
-                                 verdict_of(answer.error()));
+        core::result<httplib::Response> response = this->calls.send(request, timeout);
+        this->options.on_call(call_kind(request), !response || response->status >= status_too_many);
+        if (!response) {
+            return response;
         }
-        httplib::Response response = std::move(answer.value());
-        this->give_back(std::move(client));
-        if (response.status == status_too_many) {
+        if (response->status == status_too_many) {
             return core::failure(core::error_code::rate_limited, "platform refused the call over its rate");
         }
-        if (response.status >= 500) {
+        if (response->status >= 500) {
             return core::failure(core::error_code::platform_unavailable,
-                                 "platform answered " + std::to_string(response.status),
+                                 "platform answered " + std::to_string(response->status),
                                  core::verdict::may_have_run);
         }
         return response;
@@ -227,60 +216,12 @@
 
     void interrupt()
     {
-        const std::lock_guard lock(this->mutex);
-        this->is_interrupted = true;
-        for (httplib::Client* client : this->active) {
-            client->stop();
-        }
+        this->calls.interrupt();
     }
 
 private:
-    bool begin_call(httplib::Client* client)
-    {
-        const std::lock_guard lock(this->mutex);
-        if (!this->is_interrupted) {
-            this->active.insert(client);
-        }
-        return !this->is_interrupted;
-    }
-
-    void end_call(httplib::Client* client)
-    {
-        const std::lock_guard lock(this->mutex);
-        this->active.erase(client);
-    }
-
-    std::unique_ptr<httplib::Client> take_client()
-    {
-        {
-            const std::lock_guard lock(this->mutex);
-            if (!this->idle.empty()) {
-                std::unique_ptr<httplib::Client> client = std::move(this->idle.back());
-                this->idle.pop_back();
-                return client;
-            }
-        }
-        auto client = std::make_unique<httplib::Client>(this->options.address, this->options.port);
-        client->set_keep_alive(true);
-        client->set_tcp_nodelay(true);
-        client->set_connection_timeout(this->options.call_timeout);
-        client->set_write_timeout(this->options.call_timeout);
-        return client;
-    }
-
-    void give_back(std::unique_ptr<httplib::Client> client)
-    {
-        const std::lock_guard lock(this->mutex);
-        if (this->idle.size() < maximum_idle_connections) {
-            this->idle.push_back(std::move(client));
-        }
-    }
-
-    http_platform_options options;
-    std::mutex mutex;
-    std::vector<std::unique_ptr<httplib::Client>> idle;
-    std::set<httplib::Client*> active;
-    bool is_interrupted = false;
+    const http_platform_options options;
+    http_call_pool calls;
 };
 
 http_platform::http_platform(http_platform_options options)
--- a/modules/platform/objects/object_store.h
+++ b/modules/platform/objects/object_store.h
@@ -19,6 +19,8 @@
     std::string key;
     object_version version = 0;
     Json::Value value;
+    Json::Value
+        status; ///< What the system reports about the object, where the API keeps it apart; else null.
 };
 
 /** Result of a conditional write. @see object_store::put */
@@ -53,13 +55,19 @@
                                             object_version expected)>
         put;
 
+    /** Replaces the status of an object whose version equals `expected`. Empty where the API has none. */
+    std::function<core::result<put_outcome>(const std::string& key, const Json::Value& status,
+                                            object_version expected)>
+        put_status = nullptr;
+
     /** Removes the object when its version equals `expected`. */
     std::function<core::result<put_outcome>(const std::string& key, object_version expected)> remove;
 
     /** Lists all objects whose key starts with `prefix`. */
     std::function<core::result<watch_batch>(const std::string& prefix)> list;
 
-    /** Waits until objects below `prefix` change after a revision, or until the deadline. */
+    /** Waits until objects below `prefix` change after a revision, or until the deadline. Fails with
+     * `history_gone` when the changes since that revision are no longer kept. */
     std::function<core::result<watch_batch>(const std::string& prefix, object_version after,
                                             core::steady_time deadline)>
         watch;
--- /dev/null
+++ b/modules/settings/gateway/gateway_settings.cpp
@@ -0,0 +1,127 @@
+#include "settings/gateway/gateway_settings.h"
+
+#include "settings/reader/settings_file.h"
+
+namespace samphireway::settings {
+
+namespace {
+
+constexpr std::int64_t minute_ms = 60000;
+
+integer_bounds time_bounds(std::chrono::milliseconds fallback)
+{
+    return {.minimum = 1, .maximum = minute_ms, .fallback = fallback.count()};
+}
+
+endpoint_text read_endpoint(settings_reader& reader, const std::string& name)
+{
+    const std::string text = reader.required_text(name);
+    const std::optional<endpoint_text> parsed = parse_endpoint(text);
+    if (!text.empty() && !parsed) {
+        reader.add_fault(name, text, "address:port");
+    }
+    return parsed.value_or(endpoint_text{});
+}
+
+gateway_listen_settings read_listen(settings_reader reader)
+{
+    constexpr integer_bounds port_bounds{.minimum = 0, .maximum = 65535, .fallback = 0};
+    gateway_listen_settings result;
+    result.requesters = read_endpoint(reader, "requesters");
+    result.probes = read_endpoint(reader, "probes");
+    result.metrics_port = static_cast<std::uint16_t>(reader.integer("metrics_port", port_bounds));
+    reader.finish();
+    return result;
+}
+
+object_api_settings read_object_api(settings_reader reader)
+{
+    object_api_settings result;
+    result.address = read_endpoint(reader, "address");
+    result.call_timeout = reader.milliseconds("call_timeout_ms", time_bounds(result.call_timeout));
+    result.watch_wait = reader.milliseconds(
+        "watch_wait_ms", {.minimum = 100, .maximum = 30000, .fallback = result.watch_wait.count()});
+    reader.finish();
+    return result;
+}
+
+gateway_budget_settings read_budget(settings_reader reader)
+{
+    gateway_budget_settings result;
+    result.ledgers = static_cast<std::uint32_t>(
+        reader.integer("ledgers", {.minimum = 1, .maximum = 4096, .fallback = result.ledgers}));
+    result.horizon = std::chrono::seconds(
+        reader.integer("horizon_s", {.minimum = 1, .maximum = 86400, .fallback = result.horizon.count()}));
+    result.minimum_draw_tokens = reader.integer(
+        "minimum_draw_tokens", {.minimum = 1, .maximum = 10000000, .fallback = result.minimum_draw_tokens});
+    reader.finish();
+    return result;
+}
+
+gateway_retry_settings read_retry(settings_reader reader)
+{
+    constexpr double percent = 100;
+    gateway_retry_settings result;
+    const auto share = static_cast<std::int64_t>(result.share * percent);
+    const auto burst = static_cast<std::int64_t>(result.burst);
+    result.share = static_cast<double>(
+                       reader.integer("share_percent", {.minimum = 0, .maximum = 100, .fallback = share})) /
+                   percent;
+    result.burst =
+        static_cast<double>(reader.integer("burst", {.minimum = 1, .maximum = 1000, .fallback = burst}));
+    reader.finish();
+    return result;
+}
+
+gateway_stop_settings read_stop(settings_reader reader)
+{
+    gateway_stop_settings result;
+    result.grace = reader.milliseconds("grace_ms", time_bounds(result.grace));
+    result.notice = reader.milliseconds("notice_ms", time_bounds(result.notice));
+    if (result.notice >= result.grace) {
+        reader.add_fault("notice_ms", std::to_string(result.notice.count()),
+                         "less than grace_ms, " + std::to_string(result.grace.count()));
+    }
+    reader.finish();
+    return result;
+}
+
+} // namespace
+
+gateway_settings_reading read_gateway_settings(const Json::Value& document)
+{
+    gateway_settings_reading reading;
+    std::vector<settings_fault>& faults = reading.faults;
+    settings_reader root(document, "", faults);
+    settings_reader node(root.object("node"), "node", faults);
+    reading.settings.id = node.required_text("id");
+    reading.settings.availability_zone = node.required_text("availability_zone");
+    node.finish();
+    reading.settings.listen = read_listen({root.object("listen"), "listen", faults});
+    reading.settings.object_api = read_object_api({root.object("object_api"), "object_api", faults});
+    reading.settings.budget = read_budget({root.object("budget"), "budget", faults});
+    reading.settings.retry = read_retry({root.object("retry"), "retry", faults});
+    reading.settings.stop = read_stop({root.object("stop"), "stop", faults});
+    const std::string level = root.text("log_level", "info");
+    if (!core::parse_log_level(level, reading.settings.log_level)) {
+        root.add_fault("log_level", level, "debug, info, warning or error");
+    }
+    root.finish();
+    return reading;
+}
+
+core::result<gateway_settings> load_gateway_settings(const std::string& file)
+{
+    const core::result<Json::Value> document = read_settings_file(file);
+    if (!document) {
+        return tl::unexpected(document.error());
+    }
+    gateway_settings_reading reading = read_gateway_settings(*document);
+    const core::result<void> checked = check_faults(file, reading.faults);
+    if (!checked) {
+        return tl::unexpected(checked.error());
+    }
+    return std::move(reading.settings);
+}
+
+} // namespace samphireway::settings
--- a/modules/settings/node/node_settings.cpp
+++ b/modules/settings/node/node_settings.cpp
@@ -1,8 +1,7 @@
 #include "settings/node/node_settings.h"
 
-#include <charconv>
-#include <fstream>
-#include <sstream>
+#include "settings/reader/endpoint_text.h"
+#include "settings/reader/settings_file.h"
 
 namespace samphireway::settings {
 
@@ -142,25 +141,12 @@
     return result;
 }
 
-bool is_endpoint(const std::string& text)
-{
-    const std::size_t colon = text.rfind(':');
-    if (colon == 0 || colon == std::string::npos) {
-        return false;
-    }
-    int port = 0;
-    const char* const end = text.data() + text.size();
-    const auto [stopped, error] = std::from_chars(text.data() + colon + 1, end, port);
-    return error == std::errc{} && stopped == end && port >= port_bounds.minimum &&
-           port <= port_bounds.maximum;
-}
-
 peer_settings read_peers(settings_reader reader)
 {
     peer_settings result;
     result.seeds = reader.texts("seeds");
     for (const std::string& seed : result.seeds) {
-        if (!is_endpoint(seed)) {
+        if (!parse_endpoint(seed)) {
             reader.add_fault("seeds", seed, "entries of the form address:port");
         }
     }
@@ -223,26 +209,16 @@
 
 core::result<node_settings> load_node_settings(const std::string& file)
 {
-    std::ifstream stream(file);
-    if (!stream) {
-        return core::failure(core::error_code::not_found, file + ": cannot be read");
-    }
-    std::ostringstream content;
-    content << stream.rdbuf();
-    const core::result<Json::Value> document = core::parse_json_with_comments(content.str());
+    const core::result<Json::Value> document = read_settings_file(file);
     if (!document) {
-        return core::failure(core::error_code::invalid_argument, file + ": " + document.error().message);
+        return tl::unexpected(document.error());
     }
     settings_reading reading = read_node_settings(*document);
-    if (reading.faults.empty()) {
-        return std::move(reading.settings);
-    }
-    std::string message;
-    for (const settings_fault& fault : reading.faults) {
-        message += message.empty() ? "" : "\n";
-        message += file + ": key " + fault.key + ": found " + fault.found + ", allowed " + fault.allowed;
+    const core::result<void> checked = check_faults(file, reading.faults);
+    if (!checked) {
+        return tl::unexpected(checked.error());
     }
-    return core::failure(core::error_code::invalid_argument, message);
+    return std::move(reading.settings);
 }
 
 } // namespace samphireway::settings
