Let grants outlast a cut from the store of nine seconds

Change: a grant covers 12 s, all nodes together hold at most half of what is left, and a request is refused at once while the last ledger call failed. Ruled out: engines (under half of their slots were taken).

--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -32,7 +32,8 @@
                                      .end_piece = end_piece,
                                      .tail = tail_phase,
                                      .kept_for_own_use = kept_when_others_lack,
-                                     .minimum_draw = this->options.budget.minimum_draw_tokens},
+                                     .minimum_draw = this->options.budget.minimum_draw_tokens,
+                                     .shared_sixteenths = this->options.budget.held_sixteenths},
         .on_shortage = [this] { this->controller.request_tick(); },
         .calls = budget::call_limits_for(this->options.budget.ledgers)};
 }
@@ -40,7 +41,7 @@
 budget::budget_controller_options budget_supply::controller_options()
 {
     return budget::budget_controller_options{
-        .store = this->options.store,
+        .store = this->watched_store(),
         .run_blocking =
             [this](std::function<void()> task) {
                 if (!this->workers.submit(std::move(task))) {
@@ -57,6 +58,23 @@
             }};
 }
 
+platform::object_store budget_supply::watched_store()
+{
+    platform::object_store store = this->options.store;
+    store.get = [this, call = this->options.store.get](const std::string& key) {
+        core::result<std::optional<platform::object>> found = call(key);
+        this->is_reachable = found.has_value();
+        return found;
+    };
+    store.put = [this, call = this->options.store.put](const std::string& key, const Json::Value& value,
+                                                       platform::object_version expected) {
+        core::result<platform::put_outcome> outcome = call(key, value, expected);
+        this->is_reachable = outcome.has_value();
+        return outcome;
+    };
+    return store;
+}
+
 void budget_supply::set_deposits(std::map<std::string, std::int64_t> totals)
 {
     if (totals == this->wanted_totals) {
--- a/modules/gateway/control/budget_supply.h
+++ b/modules/gateway/control/budget_supply.h
@@ -49,15 +49,24 @@
     /** Returns whether all grants are settled and returned. May be called from any thread. */
     bool is_drained() const;
 
+    /** Returns whether the last call for a ledger was answered, so that a draw can be expected soon. May be
+     * called from any thread. */
+    bool can_draw() const noexcept
+    {
+        return this->is_reachable;
+    }
+
     /** Waits for writes under way. */
     void stop();
 
 private:
     budget::purse_options purse_options_of();
+    platform::object_store watched_store();
     budget::budget_controller_options controller_options();
     void store_totals();
 
     const budget_supply_options options;
+    std::atomic<bool> is_reachable = true;
     core::worker_pool workers{core::worker_pool_options{.maximum_threads = 2}};
     budget::purse account;
     budget::budget_controller controller;
--- a/modules/gateway/control/object_follower.cpp
+++ b/modules/gateway/control/object_follower.cpp
@@ -1,8 +1,13 @@
 #include "gateway/control/object_follower.h"
 
+#include <algorithm>
+
 namespace samphireway::gateway {
 
-object_follower::object_follower(follower_options given) : options(std::move(given)) {}
+object_follower::object_follower(follower_options given)
+    : options(std::move(given)), next_pause(this->options.first_pause)
+{
+}
 
 object_follower::~object_follower()
 {
@@ -30,6 +35,7 @@
         if (next) {
             this->is_listed = true;
             this->revision = next->batch.revision;
+            this->next_pause = this->options.first_pause;
             this->options.on_batch(std::move(*next));
             continue;
         }
@@ -61,7 +67,8 @@
 void object_follower::pause()
 {
     std::unique_lock lock(this->mutex);
-    this->wake.wait_for(lock, this->options.retry_pause, [this] { return this->is_stopping.load(); });
+    this->wake.wait_for(lock, this->next_pause, [this] { return this->is_stopping.load(); });
+    this->next_pause = std::min(this->next_pause * 2, this->options.longest_pause);
 }
 
 } // namespace samphireway::gateway
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -24,8 +24,8 @@
     platform::object_store store;
     std::string prefix;
     std::chrono::milliseconds watch_wait{2500};
-    /** Pause after a failed call. An outage is over for seconds at most before it is noticed. */
-    std::chrono::milliseconds retry_pause{250};
+    std::chrono::milliseconds first_pause{200};         ///< After a failed call; doubles with each in a row.
+    std::chrono::milliseconds longest_pause{800};       ///< Bounds how late the end of an outage is noticed.
     std::function<void(followed_batch)> on_batch;       ///< Called on the follower's thread.
     std::function<void(const core::error&)> on_failure; ///< Called on the follower's thread.
 };
@@ -58,6 +58,7 @@
     std::atomic<bool> is_stopping = false;
     bool is_listed = false;
     platform::object_version revision = 0;
+    std::chrono::milliseconds next_pause;
     std::mutex mutex;
     std::condition_variable wake;
     std::thread thread;
--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds budget_wait{600};
 // Expected time until a refused request finds a place: about one engine step of a full batch's requests.
 constexpr milliseconds expected_place{300};
+// Outages of the store last seconds, so a refused requester comes back as late as it may.
+constexpr milliseconds expected_draw{4000};
 // Time in which a node learns of routes and upstreams after its start.
 constexpr milliseconds expected_start{400};
 constexpr std::int64_t logged_share = 16; ///< One of this many plain successes is logged.
@@ -132,8 +134,9 @@
         return;
     }
     const core::steady_time now = clock::now();
+    const milliseconds wait = this->context.can_draw_budget() ? budget_wait : milliseconds(0);
     this->context.waiters.reserve(
-        this->customer->name, tokens, now, std::min(this->history.deadline, now + budget_wait),
+        this->customer->name, tokens, now, std::min(this->history.deadline, now + wait),
         [self = this->shared_from_this()](core::result<budget::reservation> outcome) {
             if (self->is_finished) {
                 if (outcome) {
@@ -142,7 +145,7 @@
                 return;
             }
             if (!outcome) {
-                self->refuse(outcome.error());
+                self->refuse_for_budget(outcome.error());
                 return;
             }
             self->reserved = std::move(*outcome);
@@ -150,6 +153,18 @@
         });
 }
 
+void exchange::refuse_for_budget(const core::error& cause)
+{
+    if (cause.code == core::error_code::budget_exhausted) {
+        this->refuse(cause);
+        return;
+    }
+    // An account that is missing has not been created from the newest configuration yet.
+    this->refuse(core::error{.code = core::error_code::budget_unavailable,
+                             .message = cause.message,
+                             .retry_after = expected_draw});
+}
+
 void exchange::begin_attempt()
 {
     const std::shared_ptr<const upstream> target = this->choose();
--- a/modules/gateway/exchange/exchange.h
+++ b/modules/gateway/exchange/exchange.h
@@ -41,6 +41,7 @@
 
     core::result<void> resolve();
     void reserve_budget();
+    void refuse_for_budget(const core::error& cause);
     void begin_attempt();
     std::shared_ptr<const upstream> choose();
     void send_to(const std::shared_ptr<const upstream>& target);
--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -12,6 +12,7 @@
 #include "traffic/retry/retry_budget.h"
 
 #include <boost/asio/io_context.hpp>
+#include <functional>
 #include <string>
 
 namespace samphireway::gateway {
@@ -24,6 +25,7 @@
     const header_dialect& dialect;
     budget::purse& purse;
     budget_waiters& waiters;
+    std::function<bool()> can_draw_budget; ///< Whether waiting for a draw can help.
     routing::health_table& health;
     traffic::retry_budget& retries; ///< By service.
     upstream_pool& pool;
--- a/modules/settings/gateway/gateway_settings.cpp
+++ b/modules/settings/gateway/gateway_settings.cpp
@@ -52,6 +52,8 @@
         reader.integer("ledgers", {.minimum = 1, .maximum = 4096, .fallback = result.ledgers}));
     result.horizon = std::chrono::seconds(
         reader.integer("horizon_s", {.minimum = 1, .maximum = 86400, .fallback = result.horizon.count()}));
+    result.held_sixteenths = static_cast<int>(
+        reader.integer("held_sixteenths", {.minimum = 1, .maximum = 15, .fallback = result.held_sixteenths}));
     result.minimum_draw_tokens = reader.integer(
         "minimum_draw_tokens", {.minimum = 1, .maximum = 10000000, .fallback = result.minimum_draw_tokens});
     reader.finish();
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -32,9 +32,12 @@
 /** How much of the prepaid budgets a gateway node holds in advance. @see budget::draw_options */
 struct gateway_budget_settings {
     std::uint32_t ledgers = 1; ///< Objects over which the workspaces' accounts are spread.
-    /** Use that a grant covers: it outlasts a short outage of the object API, and is lost when the node loses
-     * power. */
-    std::chrono::seconds horizon{4};
+    /** Use that a grant covers: it outlasts an outage of the object API of nine seconds, and is lost when the
+     * node loses power. */
+    std::chrono::seconds horizon{12};
+    /** Share of what is left of a budget that all nodes hold together, in sixteenths. With half of it, a loss
+     * of power of all nodes leaves as much for the time after it. */
+    int held_sixteenths = 8;
     std::int64_t minimum_draw_tokens = 12000; ///< A smaller draw is not worth a write.
 };
 
