Settle budgets each second and write off the grants of earlier processes

Change: settle each second, hold 10 s of use, average demand over 20 s, close the entries of a node's earlier processes at their full amount (safe even if one still runs). Ruled out: the limit itself (625,000 used when the power failed).

--- a/modules/budget/policy/draw_policy.h
+++ b/modules/budget/policy/draw_policy.h
@@ -34,6 +34,14 @@
     /** Sixteenths of the unspent total that holders take in proportion to their use; the rest stays available
      * for holders whose use grows. */
     int shared_sixteenths = 15;
+
+    /** Time between settlements that nothing else makes urgent. Unsettled use counts as lost with the node.
+     */
+    std::chrono::milliseconds settle_interval{5000};
+
+    /** Time over which recent use is averaged. With 30 s, plans with few requests had too little at a node
+     * when an hour-long partition began. */
+    std::chrono::seconds demand_smoothing{300};
 };
 
 /** What the decision looks at. @see decide_draw */
--- a/modules/budget/purse/plan_account.cpp
+++ b/modules/budget/purse/plan_account.cpp
@@ -9,9 +9,6 @@
 
 using std::chrono::milliseconds;
 
-// Settling alone is not urgent: the grant covers the spend. A longer interval means fewer writes and a later
-// recognition of the plan's end.
-constexpr milliseconds settle_interval{5000};
 // Near the end other nodes need the settled state to know what is left.
 constexpr milliseconds end_settle_interval{500};
 constexpr milliseconds waiting_read_interval{300};
@@ -25,8 +22,6 @@
 constexpr milliseconds idle_after{600000};
 // A need that its holder has not written again for this long counts as gone: the holder ended or is cut off.
 constexpr milliseconds need_lifetime{5000};
-// With 30 s, plans with few requests had too little at a node when a partition began.
-constexpr double demand_smoothing_seconds = 300;
 
 } // namespace
 
@@ -103,7 +98,8 @@
     const double rate =
         static_cast<double>(std::max<escrow::amount>(0, spent - this->spent_at_update)) / seconds;
     // In the first seconds the average counts, later the smoothed recent rate.
-    const double weight = std::max(1 - std::exp(-seconds / demand_smoothing_seconds), seconds / age);
+    const auto smoothing = static_cast<double>(this->options.demand_smoothing.count());
+    const double weight = std::max(1 - std::exp(-seconds / smoothing), seconds / age);
     this->demand_per_second += (rate - this->demand_per_second) * std::min(1.0, weight);
     this->demand_updated = now;
     this->spent_at_update = spent;
@@ -162,7 +158,7 @@
     }
     const bool is_settled_often =
         is_scarce(this->options, found.input) || phase_of(this->options, found.input) == plan_phase::tail;
-    this->write_due = now + (is_settled_often ? end_settle_interval : settle_interval);
+    this->write_due = now + (is_settled_often ? end_settle_interval : this->options.settle_interval);
     return this->holder.prepare(escrow::entry_update{.draw = found.decision.draw,
                                                      .give_back = found.decision.give_back,
                                                      .wanted = found.decision.wanted,
--- a/modules/budget/purse/purse.cpp
+++ b/modules/budget/purse/purse.cpp
@@ -35,6 +35,21 @@
     return core::error{.code = core::error_code::not_found, .message = "plan " + plan + " has no budget"};
 }
 
+void log_draw(const account_update& part, const escrow::holder_entry& entry, const escrow::account& account)
+{
+    if (part.update.draw == 0 && part.update.give_back == 0) {
+        return;
+    }
+    core::log_event(core::log_level::info, "grant_changed",
+                    {{"plan", part.plan},
+                     {"asked", part.update.draw},
+                     {"returned", part.update.give_back},
+                     {"held", entry.outstanding()},
+                     {"available", account.available()},
+                     {"outstanding", account.outstanding()},
+                     {"limit", account.limit()}});
+}
+
 } // namespace
 
 purse::purse(purse_options given) : options(std::move(given)), calls(this->options.calls) {}
@@ -211,6 +226,7 @@
             continue;
         }
         holder.commit(entry->second);
+        log_draw(part, entry->second, found->second);
     }
     for (const auto& [plan, account] : this->accounts) {
         if (this->shard_of(plan) != update.shard) {
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -13,6 +13,10 @@
 constexpr std::chrono::seconds end_piece{1};
 constexpr std::chrono::seconds tail_phase{1};
 constexpr std::chrono::seconds kept_when_others_lack{2};
+// What was used since the last settlement counts as lost when the node loses power.
+constexpr milliseconds settle_interval{1000};
+// Shorter than a burst of one workspace, longer than the gaps between requests of a small one.
+constexpr std::chrono::seconds demand_smoothing{20};
 
 } // namespace
 
@@ -33,7 +37,9 @@
                                      .tail = tail_phase,
                                      .kept_for_own_use = kept_when_others_lack,
                                      .minimum_draw = this->options.budget.minimum_draw_tokens,
-                                     .shared_sixteenths = this->options.budget.held_sixteenths},
+                                     .shared_sixteenths = this->options.budget.held_sixteenths,
+                                     .settle_interval = settle_interval,
+                                     .demand_smoothing = demand_smoothing},
         .on_shortage = [this] { this->controller.request_tick(); },
         .calls = budget::call_limits_for(this->options.budget.ledgers)};
 }
@@ -99,7 +105,9 @@
     this->is_storing = true;
     this->are_totals_stored = true; // A configuration that comes meanwhile clears it again.
     const bool is_started = this->workers.submit([this, totals = this->wanted_totals] {
-        const core::result<void> stored = store_deposits(this->options.store, this->account, totals);
+        const core::result<void> stored = store_deposits(
+            this->options.store, this->account,
+            deposit_update{.totals = totals, .node = this->options.node, .holder = this->options.holder});
         this->options.run_control([this, stored] {
             this->is_storing = false;
             if (stored) {
--- a/modules/gateway/control/budget_supply.h
+++ b/modules/gateway/control/budget_supply.h
@@ -14,7 +14,8 @@
 
 /** Options of a budget supply. @see budget_supply */
 struct budget_supply_options {
-    std::string holder; ///< Id of this process's grants; a restarted node has another.
+    std::string node;
+    std::string holder; ///< Id of this process's grants: the node, a dot and what tells its processes apart.
     platform::object_store store;
     settings::gateway_budget_settings budget;
     std::function<void(std::function<void()>)> run_control; ///< Runs a task on the control thread.
--- a/modules/gateway/control/prepaid_deposits.h
+++ b/modules/gateway/control/prepaid_deposits.h
@@ -22,11 +22,29 @@
 bool raise_deposits(escrow::ledger& target, const std::map<std::string, std::int64_t>& totals);
 
 /**
-    Brings the ledgers' deposits up to a configuration, one ledger object after the other.
+    Closes the entries that earlier processes of a node have left; returns whether the account has changed.
+
+    Their whole outstanding grants count as spent, which is safe even if such a process still runs. It keeps
+    their use and demand out of the decisions of the living holders.
+*/
+bool close_predecessors(escrow::account& target, const std::string& node, const std::string& holder,
+                        std::int64_t now_ms);
+
+/** What a node writes to the ledgers when it starts and when the configuration changes. @see store_deposits
+ */
+struct deposit_update {
+    std::map<std::string, std::int64_t> totals; ///< By workspace.
+    std::string node;
+    std::string holder; ///< Of this process.
+};
+
+/**
+    Brings the ledgers' deposits up to a configuration and closes the entries of the node's earlier processes,
+    one ledger object after the other.
 
     Fails like `escrow::ledger_client::update`; calling again is safe.
 */
 core::result<void> store_deposits(const platform::object_store& store, const budget::purse& purse,
-                                  const std::map<std::string, std::int64_t>& totals);
+                                  const deposit_update& update);
 
 } // namespace samphireway::gateway
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -104,6 +104,7 @@
     budget_supply_options supply_options()
     {
         return budget_supply_options{
+            .node = this->options.settings.id,
             .holder = this->options.settings.id + "." + core::random_identifier(),
             .store = this->options.store,
             .budget = this->options.settings.budget,
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -34,7 +34,7 @@
     std::uint32_t ledgers = 1; ///< Objects over which the workspaces' accounts are spread.
     /** Use that a grant covers: it outlasts an outage of the object API of nine seconds, and is lost when the
      * node loses power. */
-    std::chrono::seconds horizon{12};
+    std::chrono::seconds horizon{10};
     /** Share of what is left of a budget that all nodes hold together, in sixteenths. With half of it, a loss
      * of power of all nodes leaves as much for the time after it. */
     int held_sixteenths = 8;
