Hold less of a budget the less of it is left

Cause: after a loss of power of all nodes the written-off grants leave more than 3% of a nearly spent budget unusable, and every later request of that workspace is refused although the budget would cover it. Change: the part that all nodes hold together shrinks with the fraction of the limit that is left.

--- a/modules/budget/policy/draw_policy.cpp
+++ b/modules/budget/policy/draw_policy.cpp
@@ -17,7 +17,11 @@
 
 amount share_of(const draw_options& options, const draw_input& input)
 {
-    const amount shared = unspent(input) * options.shared_sixteenths / sixteenths;
+    amount shared = unspent(input) * options.shared_sixteenths / sixteenths;
+    if (options.tapers_with_rest && input.limit > 0) {
+        const double left = static_cast<double>(unspent(input)) / static_cast<double>(input.limit);
+        shared = static_cast<amount>(static_cast<double>(shared) * std::min(1.0, left));
+    }
     const amount all_demand = input.demand_per_second + input.others_demand;
     if (input.demand_per_second == 0 || all_demand == 0) {
         return shared / static_cast<amount>(2 * std::max<std::size_t>(1, input.holders));
--- a/modules/budget/policy/draw_policy.h
+++ b/modules/budget/policy/draw_policy.h
@@ -35,6 +35,10 @@
      * for holders whose use grows. */
     int shared_sixteenths = 15;
 
+    /** Whether that part also shrinks with the fraction of the limit that is left, so that a loss of all
+     * holders costs little of a budget that is nearly spent. */
+    bool tapers_with_rest = false;
+
     /** Time between settlements that nothing else makes urgent. Unsettled use counts as lost with the node.
      */
     std::chrono::milliseconds settle_interval{5000};
@@ -58,6 +62,7 @@
     escrow::amount pending_reduction = 0; ///< What an operator's reduction still has to take.
     escrow::amount others_wanted = 0;     ///< Sum of the needs that other holders have marked.
     std::size_t holders = 1;
+    escrow::amount limit = 0; ///< Of the account.
 };
 
 /** What the next ledger write does; all zero when none is due. */
--- a/modules/budget/purse/plan_account.cpp
+++ b/modules/budget/purse/plan_account.cpp
@@ -77,6 +77,7 @@
     input.pending_reduction = this->known.pending_reduction;
     input.others_wanted = this->known.others_wanted;
     input.holders = this->known.holders;
+    input.limit = this->known.limit;
     return input;
 }
 
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -38,6 +38,7 @@
                                      .kept_for_own_use = kept_when_others_lack,
                                      .minimum_draw = this->options.budget.minimum_draw_tokens,
                                      .shared_sixteenths = this->options.budget.held_sixteenths,
+                                     .tapers_with_rest = true,
                                      .settle_interval = settle_interval,
                                      .demand_smoothing = demand_smoothing},
         .on_shortage = [this] { this->controller.request_tick(); },
