--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -590,11 +590,12 @@
     if (!this->reserved) {
         return;
     }
+    // A workspace pays for what it received: nothing when no part of the response went out.
     const bool is_stream = this->matched->kind == route_kind::stream;
     const std::int64_t delivered =
         is_stream ? std::min(this->facts.maximum_output_tokens, this->events.count() * this->tokens_per_event)
                   : this->facts.maximum_output_tokens;
-    const std::int64_t used = this->history.may_have_run ? this->facts.prompt_tokens + delivered : 0;
+    const std::int64_t used = this->first_output ? this->facts.prompt_tokens + delivered : 0;
     this->context.purse.settle(*this->reserved, used);
     this->reserved.reset();
 }
