Let nodes that are cut from the store borrow budget from others

Cause: a node that cannot draw refuses requests once its grant is spent, while nodes in contact could draw more, and larger grants lose more when power fails. Change: nodes register in the store, and one that cannot reach the ledger asks up to three others; the lender books the loan as spent before it answers, so a lost answer or a dead borrower only costs the workspace that loan. Calls prove with a token that they come from a node that can read the store.

--- a/modules/gateway/exchange/budget_waiters.cpp
+++ b/modules/gateway/budget/budget_waiters.cpp
@@ -1,4 +1,4 @@
-#include "gateway/exchange/budget_waiters.h"
+#include "gateway/budget/budget_waiters.h"
 
 #include <utility>
 #include <vector>
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -47,22 +47,14 @@
 
 budget::budget_controller_options budget_supply::controller_options()
 {
-    return budget::budget_controller_options{
-        .store = this->watched_store(),
-        .run_blocking =
-            [this](std::function<void()> task) {
-                if (!this->workers.submit(std::move(task))) {
-                    core::log_event(core::log_level::error, "ledger_write_not_started",
-                                    {{"reason", "the worker queue is full or closed"}});
-                }
-            },
-        .run_control =
-            [this](std::function<void()> task) {
-                this->options.run_control([this, task = std::move(task)] {
-                    task();
-                    this->options.on_change();
-                });
-            }};
+    return budget::budget_controller_options{.store = this->watched_store(),
+                                             .run_blocking = this->options.run_blocking,
+                                             .run_control = [this](std::function<void()> task) {
+                                                 this->options.run_control([this, task = std::move(task)] {
+                                                     task();
+                                                     this->options.on_change();
+                                                 });
+                                             }};
 }
 
 platform::object_store budget_supply::watched_store()
@@ -105,7 +97,7 @@
 {
     this->is_storing = true;
     this->are_totals_stored = true; // A configuration that comes meanwhile clears it again.
-    const bool is_started = this->workers.submit([this, totals = this->wanted_totals] {
+    this->options.run_blocking([this, totals = this->wanted_totals] {
         const core::result<void> stored = store_deposits(
             this->options.store, this->account,
             deposit_update{.totals = totals, .node = this->options.node, .holder = this->options.holder});
@@ -122,10 +114,6 @@
                 {{"code", core::to_string(stored.error().code)}, {"reason", stored.error().message}});
         });
     });
-    if (!is_started) {
-        this->is_storing = false;
-        this->are_totals_stored = false;
-    }
 }
 
 void budget_supply::start_drain()
@@ -138,9 +126,4 @@
     return this->account.is_drained();
 }
 
-void budget_supply::stop()
-{
-    this->workers.shutdown();
-}
-
 } // namespace samphireway::gateway
--- a/modules/gateway/control/budget_supply.h
+++ b/modules/gateway/control/budget_supply.h
@@ -18,7 +18,8 @@
     std::string holder; ///< Id of this process's grants: the node, a dot and what tells its processes apart.
     platform::object_store store;
     settings::gateway_budget_settings budget;
-    std::function<void(std::function<void()>)> run_control; ///< Runs a task on the control thread.
+    std::function<void(std::function<void()>)> run_control;  ///< Runs a task on the control thread.
+    std::function<void(std::function<void()>)> run_blocking; ///< Runs a blocking task on another thread.
     std::function<void()> on_change; ///< Called after grants may have changed, on the control thread.
 };
 
@@ -57,9 +58,6 @@
         return this->is_reachable;
     }
 
-    /** Waits for writes under way. */
-    void stop();
-
 private:
     budget::purse_options purse_options_of();
     platform::object_store watched_store();
@@ -68,7 +66,6 @@
 
     const budget_supply_options options;
     std::atomic<bool> is_reachable = true;
-    core::worker_pool workers{core::worker_pool_options{.maximum_threads = 2}};
     budget::purse account;
     budget::budget_controller controller;
     std::map<std::string, std::int64_t> wanted_totals;
--- /dev/null
+++ b/modules/gateway/control/member_tracker.cpp
@@ -0,0 +1,87 @@
+#include "gateway/control/member_tracker.h"
+
+namespace samphireway::gateway {
+
+namespace {
+
+// Another process of the same node can write at most once or twice at the same time.
+constexpr int maximum_conflicts = 4;
+
+std::string id_of(const std::string& key)
+{
+    return key.substr(key.rfind('/') + 1);
+}
+
+} // namespace
+
+Json::Value to_json(const member& entry)
+{
+    Json::Value json;
+    json["address"] = entry.address;
+    json["port"] = entry.port;
+    json["token"] = entry.token;
+    return json;
+}
+
+core::result<member> member_from_json(const std::string& key, const Json::Value& value)
+{
+    constexpr std::int64_t maximum_port = 65535;
+    member entry{.id = id_of(key), .address = {}, .port = 0, .token = {}};
+    const std::int64_t port = value.isObject() ? core::integer_member(value, "port") : 0;
+    if (port <= 0 || port > maximum_port) {
+        return core::failure(core::error_code::invalid_argument, "the port cannot be read");
+    }
+    entry.address = core::string_member(value, "address");
+    entry.port = static_cast<std::uint16_t>(port);
+    entry.token = core::string_member(value, "token");
+    if (entry.address.empty() || entry.token.empty()) {
+        return core::failure(core::error_code::invalid_argument, "the address or the token is missing");
+    }
+    return entry;
+}
+
+core::result<void> store_member(const platform::object_store& store, const member& entry)
+{
+    const std::string key = members_prefix + entry.id;
+    platform::object_version expected = 0;
+    for (int attempt = 0; attempt < maximum_conflicts; ++attempt) {
+        const core::result<platform::put_outcome> outcome = store.put(key, to_json(entry), expected);
+        if (!outcome) {
+            return tl::unexpected(outcome.error());
+        }
+        if (outcome->applied) {
+            return {};
+        }
+        expected = outcome->current ? outcome->current->version : 0;
+    }
+    return core::failure(core::error_code::conflict, "the entry of this node is being written by others");
+}
+
+std::shared_ptr<const member_list> member_tracker::apply(const followed_batch& received)
+{
+    if (received.is_full_list) {
+        this->entries.clear();
+    }
+    for (const platform::object& object : received.batch.changed) {
+        const std::string id = id_of(object.key);
+        if (object.value.isNull()) {
+            this->entries.erase(id);
+            continue;
+        }
+        core::result<member> entry = member_from_json(object.key, object.value);
+        if (!entry) {
+            core::log_event(core::log_level::warning, "member_entry_unusable",
+                            {{"node", id}, {"reason", entry.error().message}});
+            continue;
+        }
+        core::log_event(core::log_level::info, "member_known", {{"node", id}, {"address", entry->address}});
+        this->entries[id] = std::move(*entry);
+    }
+    auto list = std::make_shared<member_list>();
+    for (const auto& [id, entry] : this->entries) {
+        list->members.push_back(entry);
+    }
+    return list;
+}
+
+} // namespace samphireway::gateway
--- a/modules/gateway/exchange/blackboard.h
+++ b/modules/gateway/exchange/blackboard.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/model/member.h"
 #include "gateway/model/upstream.h"
 #include "gateway/routes/route_table.h"
 
@@ -9,11 +10,12 @@
 /**
     What the control thread publishes for traffic.
 
-    Both entries are null until they are first known.
+    Entries are null until they are first known.
 */
 struct blackboard {
     core::published<route_table> routes{nullptr};
     core::published<upstream_table> upstreams{nullptr};
+    core::published<member_list> members{nullptr};
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t maximum_whole_response = 16U << 20U;
 // A requester that reads slower than its upstream writes holds at most about this much of a stream here.
 constexpr std::size_t maximum_queued_bytes = 256U << 10U;
-// A requester waits this long for a draw at most; the store answers within milliseconds when it is up.
-constexpr milliseconds budget_wait{600};
 // Expected time until a refused request finds a place: about one engine step of a full batch's requests.
 constexpr milliseconds expected_place{300};
 // Outages of the store last seconds, so a refused requester comes back as late as it may.
@@ -133,24 +131,21 @@
         this->begin_attempt();
         return;
     }
-    const core::steady_time now = clock::now();
-    const milliseconds wait = this->context.can_draw_budget() ? budget_wait : milliseconds(0);
-    this->context.waiters.reserve(
-        this->customer->name, tokens, now, std::min(this->history.deadline, now + wait),
-        [self = this->shared_from_this()](core::result<budget::reservation> outcome) {
-            if (self->is_finished) {
-                if (outcome) {
-                    self->context.purse.settle(*outcome, 0);
-                }
-                return;
-            }
-            if (!outcome) {
-                self->refuse_for_budget(outcome.error());
-                return;
-            }
-            self->reserved = std::move(*outcome);
-            self->begin_attempt();
-        });
+    this->context.budget.reserve(this->customer->name, tokens, clock::now(), this->history.deadline,
+                                 [self = this->shared_from_this()](core::result<held_budget> outcome) {
+                                     if (self->is_finished) {
+                                         if (outcome) {
+                                             self->context.budget.settle(*outcome, 0);
+                                         }
+                                         return;
+                                     }
+                                     if (!outcome) {
+                                         self->refuse_for_budget(outcome.error());
+                                         return;
+                                     }
+                                     self->reserved = std::move(*outcome);
+                                     self->begin_attempt();
+                                 });
 }
 
 void exchange::refuse_for_budget(const core::error& cause)
@@ -596,7 +591,7 @@
         is_stream ? std::min(this->facts.maximum_output_tokens, this->events.count() * this->tokens_per_event)
                   : this->facts.maximum_output_tokens;
     const std::int64_t used = this->first_output ? this->facts.prompt_tokens + delivered : 0;
-    this->context.purse.settle(*this->reserved, used);
+    this->context.budget.settle(*this->reserved, used);
     this->reserved.reset();
 }
 
--- a/modules/gateway/exchange/exchange.h
+++ b/modules/gateway/exchange/exchange.h
@@ -78,7 +78,7 @@
     std::optional<std::uint64_t> prefix;
     attempt_history history;
     std::set<std::string> tried;
-    std::optional<budget::reservation> reserved;
+    std::optional<held_budget> reserved;
 
     std::shared_ptr<const upstream> current;
     std::shared_ptr<upstream_connection> connection;
--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/budget/budget_access.h"
 #include "gateway/exchange/blackboard.h"
-#include "gateway/exchange/budget_waiters.h"
 #include "gateway/exchange/counters.h"
 #include "gateway/exchange/drain_state.h"
 #include "gateway/http/upstream_pool.h"
@@ -12,7 +12,6 @@
 #include "traffic/retry/retry_budget.h"
 
 #include <boost/asio/io_context.hpp>
-#include <functional>
 #include <string>
 
 namespace samphireway::gateway {
@@ -23,9 +22,7 @@
     const std::string& availability_zone;
     const blackboard& board;
     const header_dialect& dialect;
-    budget::purse& purse;
-    budget_waiters& waiters;
-    std::function<bool()> can_draw_budget; ///< Whether waiting for a draw can help.
+    budget_access& budget;
     routing::health_table& health;
     traffic::retry_budget& retries; ///< By service.
     upstream_pool& pool;
--- /dev/null
+++ b/modules/gateway/http/internal_server.cpp
@@ -0,0 +1,131 @@
+#include "gateway/http/internal_server.h"
+
+#include "gateway/http/socket_options.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <memory>
+#include <optional>
+
+namespace samphireway::gateway {
+
+namespace {
+
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr int accept_backlog = 128;
+// Probes and loans are far smaller.
+constexpr std::uint32_t message_limit = 8192;
+// The platform probes once a second; a connection without a request for longer has been left.
+constexpr std::chrono::seconds idle_timeout{20};
+// Pause after a failed accept, mostly for want of descriptors.
+constexpr std::chrono::milliseconds accept_pause{20};
+
+/** One connection of the platform or of another node. */
+class internal_session : public std::enable_shared_from_this<internal_session> {
+public:
+    internal_session(tcp::socket connected, const internal_handler& given)
+        : socket(std::move(connected)), timer(this->socket.get_executor()), handler(given)
+    {
+    }
+
+    void read()
+    {
+        this->parser.emplace();
+        this->parser->header_limit(message_limit);
+        this->parser->body_limit(message_limit);
+        this->timer.expires_after(idle_timeout);
+        this->timer.async_wait([self = this->shared_from_this()](error_code failure) {
+            if (!failure) {
+                self->socket.close(failure);
+            }
+        });
+        http::async_read(this->socket, this->buffer, *this->parser,
+                         [self = this->shared_from_this()](error_code failure, std::size_t) {
+                             self->timer.cancel();
+                             if (!failure) {
+                                 self->handle();
+                             }
+                         });
+    }
+
+private:
+    void handle()
+    {
+        const http::request<http::string_body>& received = this->parser->get();
+        request_message request{.method = std::string(received.method_string()),
+                                .target = std::string(received.target()),
+                                .headers = {},
+                                .body = received.body()};
+        for (const auto& field : received) {
+            request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
+        }
+        this->handler(request, [self = this->shared_from_this()](internal_response given) {
+            self->answer(std::move(given));
+        });
+    }
+
+    void answer(internal_response given)
+    {
+        this->response = {};
+        this->response.version(11);
+        this->response.result(given.status);
+        this->response.set(http::field::content_type, given.content_type);
+        this->response.body() = std::move(given.body);
+        this->response.keep_alive(this->parser->get().keep_alive());
+        this->response.prepare_payload();
+        http::async_write(this->socket, this->response,
+                          [self = this->shared_from_this()](error_code failure, std::size_t) {
+                              if (!failure && self->response.keep_alive()) {
+                                  self->read();
+                              }
+                          });
+    }
+
+    tcp::socket socket;
+    boost::asio::steady_timer timer;
+    const internal_handler& handler;
+    boost::beast::flat_buffer buffer;
+    std::optional<http::request_parser<http::string_body>> parser;
+    http::response<http::string_body> response;
+};
+
+} // namespace
+
+internal_server::internal_server(boost::asio::io_context& context, const tcp::endpoint& address,
+                                 internal_handler given)
+    : io(context), endpoint(address), handler(std::move(given)), acceptor(context)
+{
+}
+
+core::result<void> internal_server::start()
+{
+    core::result<void> listening = listen_on(this->acceptor, this->endpoint, accept_backlog);
+    if (listening) {
+        this->accept();
+    }
+    return listening;
+}
+
+void internal_server::accept()
+{
+    this->acceptor.async_accept([this](error_code failure, tcp::socket socket) {
+        if (failure == boost::asio::error::operation_aborted) {
+            return;
+        }
+        if (failure) {
+            core::log_event(core::log_level::warning, "internal_accept_failed",
+                            {{"reason", failure.message()}});
+            auto pause = std::make_shared<boost::asio::steady_timer>(this->io, accept_pause);
+            pause->async_wait([this, pause](error_code) { this->accept(); });
+            return;
+        }
+        std::make_shared<internal_session>(std::move(socket), this->handler)->read();
+        this->accept();
+    });
+}
+
+} // namespace samphireway::gateway
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -1,9 +1,11 @@
 #include "gateway/process/gateway_node.h"
 
+#include "gateway/budget/loan_client.h"
 #include "gateway/control/budget_supply.h"
+#include "gateway/control/member_tracker.h"
 #include "gateway/exchange/gateway_context.h"
 #include "gateway/http/front_listener.h"
-#include "gateway/http/probe_server.h"
+#include "gateway/http/internal_server.h"
 #include "gateway/process/gateway_metrics.h"
 #include "gateway/process/settings_watch.h"
 
@@ -30,6 +32,15 @@
 // Requests still running are cut off this long before the platform kills the process.
 constexpr milliseconds exit_margin{350};
 constexpr milliseconds drain_check_interval{20};
+constexpr milliseconds registration_retry{500};
+constexpr milliseconds member_watch_wait{10000};
+
+const std::string metrics_path = "/metrics";
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
 
 tcp::endpoint make_endpoint(const settings::endpoint_text& text)
 {
@@ -45,30 +56,27 @@
         : options(std::move(given)), supply(this->supply_options()), health(routing::health_options{}),
           retries(traffic::retry_budget_options{.earned_per_success = this->options.settings.retry.share,
                                                 .maximum = this->options.settings.retry.burst}),
-          pool(this->io),
-          waiters(this->supply.purse()), context{.io = this->io,
-                                                 .availability_zone =
-                                                     this->options.settings.availability_zone,
-                                                 .board = this->board,
-                                                 .dialect = this->options.dialect,
-                                                 .purse = this->supply.purse(),
-                                                 .waiters = this->waiters,
-                                                 .can_draw_budget =
-                                                     [this] { return this->supply.can_draw(); },
-                                                 .health = this->health,
-                                                 .retries = this->retries,
-                                                 .pool = this->pool,
-                                                 .loads = this->loads,
-                                                 .drain = this->drain,
-                                                 .counts = this->counts},
+          pool(this->io), loans(this->io, this->loan_options()),
+          budget(this->supply.purse(), this->budget_hooks()),
+          context{.io = this->io,
+                  .availability_zone = this->options.settings.availability_zone,
+                  .board = this->board,
+                  .dialect = this->options.dialect,
+                  .budget = this->budget,
+                  .health = this->health,
+                  .retries = this->retries,
+                  .pool = this->pool,
+                  .loads = this->loads,
+                  .drain = this->drain,
+                  .counts = this->counts},
           front(this->context, make_endpoint(this->options.settings.listen.requesters)),
-          probes(this->io, make_endpoint(this->options.settings.listen.probes), this->probe_hooks_of()),
-          metrics(this->io, this->metrics_endpoint(), this->probe_hooks_of()),
+          probes(this->io, make_endpoint(this->options.settings.listen.probes), this->answer_probes()),
+          internal(this->io, make_endpoint(this->options.settings.listen.internal), this->answer_nodes()),
           signals(this->io, SIGTERM, SIGINT, SIGHUP), sweep_timer(this->io), waiter_timer(this->io),
           drain_timer(this->io), upstreams(this->options.read_upstream),
           configuration(this->options.configuration_key, this->options.read_configuration),
           settings_file(this->options.settings_file), configuration_follower(this->configuration_options()),
-          upstream_follower(this->upstream_options())
+          upstream_follower(this->upstream_options()), member_follower(this->member_options())
     {
     }
 
@@ -78,8 +86,8 @@
         if (listening) {
             listening = this->probes.start();
         }
-        if (listening && this->options.settings.listen.metrics_port != 0) {
-            listening = this->metrics.start();
+        if (listening) {
+            listening = this->internal.start();
         }
         if (!listening) {
             this->stop_control();
@@ -95,6 +103,8 @@
         this->control.post([this] { this->tick(); });
         this->configuration_follower.start();
         this->upstream_follower.start();
+        this->member_follower.start();
+        this->register_node();
         this->io.run();
         this->stop_control();
         return {};
@@ -109,30 +119,112 @@
             .store = this->options.store,
             .budget = this->options.settings.budget,
             .run_control = [this](std::function<void()> task) { this->control.post(std::move(task)); },
-            .on_change = [this] { asio::post(this->io, [this] { this->waiters.check(clock::now()); }); },
+            .run_blocking = [this](std::function<void()> task) { this->run_blocking(std::move(task)); },
+            .on_change = [this] { asio::post(this->io, [this] { this->budget.check(clock::now()); }); },
         };
     }
 
-    probe_hooks probe_hooks_of()
+    loan_client_options loan_options()
     {
-        return probe_hooks{.is_ready = [this] { return this->is_ready(); },
-                           .metrics =
-                               [this] {
-                                   return write_metrics(this->counts, *this->context_table(),
-                                                        this->pool.opened(), this->health);
-                               }};
+        return loan_client_options{.node = this->options.settings.id, .members = [this] {
+                                       return this->board.members.read();
+                                   }};
     }
 
-    std::shared_ptr<const upstream_table> context_table() const
+    budget_access_hooks budget_hooks()
     {
-        const std::shared_ptr<const upstream_table> known = this->board.upstreams.read();
-        return known == nullptr ? std::make_shared<const upstream_table>() : known;
+        return budget_access_hooks{.can_draw = [this] { return this->supply.can_draw(); },
+                                   .borrow =
+                                       [this](const std::string& workspace, std::int64_t tokens,
+                                              std::function<void(core::result<std::int64_t>)> on_loan) {
+                                           this->loans.borrow(workspace, tokens, std::move(on_loan));
+                                       }};
+    }
+
+    void run_blocking(std::function<void()> task)
+    {
+        if (!this->workers.submit(std::move(task))) {
+            core::log_event(core::log_level::error, "store_call_not_started",
+                            {{"reason", "the worker queue is full or closed"}});
+        }
     }
 
-    tcp::endpoint metrics_endpoint() const
+    internal_handler answer_probes()
     {
-        const settings::gateway_listen_settings& listen = this->options.settings.listen;
-        return make_endpoint({.address = listen.probes.address, .port = listen.metrics_port});
+        return [this](const request_message& request, const std::function<void(internal_response)>& answer) {
+            if (request.target == metrics_path) {
+                answer(this->metrics_response());
+                return;
+            }
+            answer(internal_response{.status = this->is_ready() ? status_ok : status_unavailable});
+        };
+    }
+
+    internal_handler answer_nodes()
+    {
+        return [this](const request_message& request, const std::function<void(internal_response)>& answer) {
+            if (request.target == metrics_path) {
+                answer(this->metrics_response());
+                return;
+            }
+            if (request.target != loan_path || request.method != "POST") {
+                answer(internal_response{.status = status_not_found});
+                return;
+            }
+            this->answer_loan(request, answer);
+        };
+    }
+
+    internal_response metrics_response() const
+    {
+        return internal_response{
+            .body = write_metrics(this->counts, *this->known_upstreams(), this->pool.opened(), this->health),
+            .content_type = "text/plain; version=0.0.4"};
+    }
+
+    void answer_loan(const request_message& request, const std::function<void(internal_response)>& answer)
+    {
+        const std::string* const proof = find_header(request.headers, "Authorization");
+        if (proof == nullptr || !core::equal_in_constant_time(*proof, "Bearer " + this->token)) {
+            answer(internal_response{.status = status_unauthorized});
+            return;
+        }
+        const core::result<loan_call> call = parse_loan_call(request.body);
+        if (!call) {
+            answer(internal_response{.status = status_bad_request, .body = call.error().message});
+            return;
+        }
+        this->budget.lend(
+            call->workspace, call->tokens, clock::now(),
+            [answer, call = *call](const core::result<std::int64_t>& lent) {
+                const int status = lent ? static_cast<int>(status_ok) : core::http_status(lent.error().code);
+                core::log_event(core::log_level::info, "loan",
+                                {{"workspace", call.workspace}, {"tokens", call.tokens}, {"status", status}});
+                answer(internal_response{.status = static_cast<unsigned>(status)});
+            });
+    }
+
+    void register_node()
+    {
+        const settings::endpoint_text& address = this->options.settings.listen.internal;
+        const member entry{.id = this->options.settings.id,
+                           .address = address.address,
+                           .port = address.port,
+                           .token = this->token};
+        this->run_blocking([this, entry] {
+            const core::result<void> stored = store_member(this->options.store, entry);
+            if (!stored) {
+                core::log_event(core::log_level::warning, "node_not_registered",
+                                {{"reason", stored.error().message}});
+                this->control.post_at(clock::now() + registration_retry, [this] { this->register_node(); });
+            }
+        });
+    }
+
+    std::shared_ptr<const upstream_table> known_upstreams() const
+    {
+        const std::shared_ptr<const upstream_table> known = this->board.upstreams.read();
+        return known == nullptr ? std::make_shared<const upstream_table>() : known;
     }
 
     bool is_ready() const
@@ -171,6 +263,16 @@
         return result;
     }
 
+    follower_options member_options()
+    {
+        follower_options result = this->follow(members_prefix, [this](const followed_batch& received) {
+            this->board.members.publish(this->members.apply(received));
+        });
+        // Nodes come and go rarely, and a late entry only costs a loan.
+        result.watch_wait = member_watch_wait;
+        return result;
+    }
+
     follower_options follow(const std::string& prefix, std::function<void(const followed_batch&)> apply)
     {
         auto is_lost = std::make_shared<std::atomic<bool>>(false);
@@ -293,8 +395,8 @@
 
     void check_waiters()
     {
-        this->waiters.check(clock::now());
-        this->waiter_timer.expires_after(this->waiters.is_empty() ? sweep_interval : waiter_interval);
+        this->budget.check(clock::now());
+        this->waiter_timer.expires_after(this->budget.is_waiting() ? waiter_interval : sweep_interval);
         this->waiter_timer.async_wait([this](boost::system::error_code failure) {
             if (!failure) {
                 this->check_waiters();
@@ -307,7 +409,8 @@
         this->options.interrupt_store();
         this->configuration_follower.stop();
         this->upstream_follower.stop();
-        this->supply.stop();
+        this->member_follower.stop();
+        this->workers.shutdown();
         this->control.stop();
         core::flush_buffered_log();
     }
@@ -316,18 +419,21 @@
     asio::io_context io{1};
     blackboard board;
     core::event_loop control;
+    core::worker_pool workers{core::worker_pool_options{.maximum_threads = 2}};
+    const std::string token = core::random_identifier();
     budget_supply supply;
     routing::health_table health;
     traffic::retry_budget retries;
     upstream_pool pool;
     load_tracker loads;
-    budget_waiters waiters;
+    loan_client loans;
+    budget_access budget;
     drain_state drain;
     counters counts;
     gateway_context context;
     front_listener front;
-    probe_server probes;
-    probe_server metrics;
+    internal_server probes;
+    internal_server internal;
     asio::signal_set signals;
     asio::steady_timer sweep_timer;
     asio::steady_timer waiter_timer;
@@ -336,9 +442,11 @@
     bool is_supply_draining = false;
     upstream_tracker upstreams;          ///< Control thread only.
     configuration_tracker configuration; ///< Control thread only.
+    member_tracker members;              ///< Control thread only.
     settings_watch settings_file;        ///< Control thread only.
     object_follower configuration_follower;
     object_follower upstream_follower;
+    object_follower member_follower;
 };
 
 gateway_node::gateway_node(gateway_node_options given)
--- a/modules/settings/gateway/gateway_settings.cpp
+++ b/modules/settings/gateway/gateway_settings.cpp
@@ -25,11 +25,10 @@
 
 gateway_listen_settings read_listen(settings_reader reader)
 {
-    constexpr integer_bounds port_bounds{.minimum = 0, .maximum = 65535, .fallback = 0};
     gateway_listen_settings result;
     result.requesters = read_endpoint(reader, "requesters");
     result.probes = read_endpoint(reader, "probes");
-    result.metrics_port = static_cast<std::uint16_t>(reader.integer("metrics_port", port_bounds));
+    result.internal = read_endpoint(reader, "internal");
     reader.finish();
     return result;
 }
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -14,8 +14,8 @@
 /** Addresses on which a gateway node listens. */
 struct gateway_listen_settings {
     endpoint_text requesters;
-    endpoint_text probes;           ///< Readiness and metrics.
-    std::uint16_t metrics_port = 0; ///< A further port for metrics, on the address of the probes; 0 for none.
+    endpoint_text probes;   ///< Readiness probes of the balancer, and metrics.
+    endpoint_text internal; ///< Calls of other nodes, and metrics.
 };
 
 /** How a gateway node reaches the platform's object API. */
