Hold ten seconds of use until little of a budget is left

Change: all nodes hold up to half of the rest, less only below 0.4 of the limit; a node without contact lends all that is free; refusals of lenders are remembered by workspace; shortages within 15 ms share one write.

--- a/modules/budget/policy/draw_policy.cpp
+++ b/modules/budget/policy/draw_policy.cpp
@@ -10,6 +10,12 @@
 
 constexpr int sixteenths = 16;
 
+// Fractions of the limit. Above the first a loss of all holders leaves enough for the rest; below the second
+// even a small loss is felt at the plan's end.
+constexpr double taper_start = 0.4;
+constexpr double taper_end = 0.1;
+constexpr double smallest_taper = 0.05;
+
 amount unspent(const draw_input& input)
 {
     return std::max<amount>(0, input.available) + input.outstanding;
@@ -20,7 +26,8 @@
     amount shared = unspent(input) * options.shared_sixteenths / sixteenths;
     if (options.tapers_with_rest && input.limit > 0) {
         const double left = static_cast<double>(unspent(input)) / static_cast<double>(input.limit);
-        shared = static_cast<amount>(static_cast<double>(shared) * std::min(1.0, left));
+        const double part = (left - taper_end) / (taper_start - taper_end);
+        shared = static_cast<amount>(static_cast<double>(shared) * std::clamp(part, smallest_taper, 1.0));
     }
     const amount all_demand = input.demand_per_second + input.others_demand;
     if (input.demand_per_second == 0 || all_demand == 0) {
--- a/modules/budget/policy/draw_policy.h
+++ b/modules/budget/policy/draw_policy.h
@@ -35,8 +35,8 @@
      * for holders whose use grows. */
     int shared_sixteenths = 15;
 
-    /** Whether that part also shrinks with the fraction of the limit that is left, so that a loss of all
-     * holders costs little of a budget that is nearly spent. */
+    /** Whether that part also shrinks once less than 0.4 of the limit is left, so that a loss of all holders
+     * costs little of a budget that is nearly spent. */
     bool tapers_with_rest = false;
 
     /** Time between settlements that nothing else makes urgent. Unsettled use counts as lost with the node.
--- a/modules/gateway/budget/budget_access.cpp
+++ b/modules/gateway/budget/budget_access.cpp
@@ -12,8 +12,6 @@
 constexpr milliseconds draw_wait{600};
 // Another node waits for the answer, so a draw for it must be quick.
 constexpr milliseconds lend_wait{150};
-// A lender that cannot draw either keeps at least as much as it lends.
-constexpr std::int64_t kept_per_loan = 2;
 
 core::error unavailable(const std::string& workspace)
 {
@@ -103,10 +101,6 @@
         this->waiters.reserve(workspace, tokens, now, now + lend_wait, book);
         return;
     }
-    if (this->purse.free(workspace) < kept_per_loan * tokens) {
-        on_outcome(tl::unexpected(unavailable(workspace)));
-        return;
-    }
     book(this->purse.reserve(workspace, tokens));
 }
 
--- a/modules/gateway/budget/loan_client.cpp
+++ b/modules/gateway/budget/loan_client.cpp
@@ -18,6 +18,11 @@
 constexpr unsigned status_exhausted = 402;
 constexpr std::int64_t maximum_loan = 100'000'000; ///< Tokens; a larger call is malformed.
 
+std::string lender_account(const std::string& node, const std::string& workspace)
+{
+    return node + "/" + workspace;
+}
+
 } // namespace
 
 /** One search for a lender. */
@@ -64,20 +69,21 @@
     asked->workspace = workspace;
     asked->tokens = tokens;
     asked->on_loan = std::move(on_loan);
-    asked->left = this->lenders(clock::now(), ++this->asked_count);
+    asked->left = this->lenders(workspace, clock::now());
     asked->timer = std::make_unique<boost::asio::steady_timer>(this->io);
     this->ask_next(asked);
 }
 
-std::vector<member> loan_client::lenders(core::steady_time now, std::uint64_t selector) const
+std::vector<member> loan_client::lenders(const std::string& workspace, core::steady_time now)
 {
+    ++this->asked_count;
     const std::shared_ptr<const member_list> known = this->options.members();
     std::vector<std::pair<std::uint64_t, member>> ranked;
     for (const member& entry : known == nullptr ? std::vector<member>{} : known->members) {
-        const auto refused = this->refused_until.find(entry.id);
-        const bool is_refusing = refused != this->refused_until.end() && now < refused->second;
+        const bool is_refusing = now < this->refused_until[entry.id] ||
+                                 now < this->refused_until[lender_account(entry.id, workspace)];
         if (entry.id != this->options.node && !is_refusing) {
-            ranked.emplace_back(core::hash64(entry.id + std::to_string(selector)), entry);
+            ranked.emplace_back(core::hash64(entry.id + std::to_string(this->asked_count)), entry);
         }
     }
     std::sort(ranked.begin(), ranked.end(),
@@ -152,7 +158,8 @@
                                      "the budget of " + asked->workspace + " does not cover the request"));
         return;
     }
-    this->refused_until[lender.id] = clock::now() + pause_after_refusal;
+    const std::string refused = status == 0 ? lender.id : lender_account(lender.id, asked->workspace);
+    this->refused_until[refused] = clock::now() + pause_after_refusal;
     this->ask_next(asked);
 }
 
--- a/modules/gateway/budget/loan_client.h
+++ b/modules/gateway/budget/loan_client.h
@@ -37,7 +37,8 @@
 /**
     Borrows budget from other nodes, one after the other, until one of them lends.
 
-    A node that did not lend is asked last for a second. Traffic thread only.
+    A node that did not lend is not asked for a second: for the same workspace, or at all if it was silent.
+   Traffic thread only.
 
     @see budget_access
 */
@@ -53,14 +54,14 @@
 private:
     struct loan;
 
-    std::vector<member> lenders(core::steady_time now, std::uint64_t selector) const;
+    std::vector<member> lenders(const std::string& workspace, core::steady_time now);
     void ask_next(const std::shared_ptr<loan>& asked);
     void on_answer(const std::shared_ptr<loan>& asked, const member& lender, unsigned status);
 
     boost::asio::io_context& io;
     const loan_client_options options;
     upstream_pool pool;
-    std::unordered_map<std::string, core::steady_time> refused_until; ///< By node.
+    std::unordered_map<std::string, core::steady_time> refused_until; ///< By node, or node and workspace.
     std::uint64_t asked_count = 0;
 };
 
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -8,6 +8,8 @@
 using clock = std::chrono::steady_clock;
 
 constexpr milliseconds deposit_retry{400};
+// Requests that lack budget within this time share one write to the ledger.
+constexpr milliseconds draw_delay{15};
 // Near a plan's end and in its tail holders keep less, so that what is left reaches the node that needs it.
 constexpr std::chrono::seconds end_phase{6};
 constexpr std::chrono::seconds end_piece{1};
@@ -41,7 +43,7 @@
                                      .tapers_with_rest = true,
                                      .settle_interval = settle_interval,
                                      .demand_smoothing = demand_smoothing},
-        .on_shortage = [this] { this->controller.request_tick(); },
+        .on_shortage = [this] { this->request_draw(); },
         .calls = budget::call_limits_for(this->options.budget.ledgers)};
 }
 
@@ -57,6 +59,16 @@
                                              }};
 }
 
+void budget_supply::request_draw()
+{
+    if (!this->is_draw_requested.exchange(true)) {
+        this->options.run_control_at(clock::now() + draw_delay, [this] {
+            this->is_draw_requested = false;
+            this->controller.tick();
+        });
+    }
+}
+
 platform::object_store budget_supply::watched_store()
 {
     platform::object_store store = this->options.store;
--- a/modules/gateway/control/budget_supply.h
+++ b/modules/gateway/control/budget_supply.h
@@ -18,7 +18,8 @@
     std::string holder; ///< Id of this process's grants: the node, a dot and what tells its processes apart.
     platform::object_store store;
     settings::gateway_budget_settings budget;
-    std::function<void(std::function<void()>)> run_control;  ///< Runs a task on the control thread.
+    std::function<void(std::function<void()>)> run_control; ///< Runs a task on the control thread.
+    std::function<void(core::steady_time, std::function<void()>)> run_control_at;
     std::function<void(std::function<void()>)> run_blocking; ///< Runs a blocking task on another thread.
     std::function<void()> on_change; ///< Called after grants may have changed, on the control thread.
 };
@@ -61,11 +62,13 @@
 private:
     budget::purse_options purse_options_of();
     platform::object_store watched_store();
+    void request_draw();
     budget::budget_controller_options controller_options();
     void store_totals();
 
     const budget_supply_options options;
     std::atomic<bool> is_reachable = true;
+    std::atomic<bool> is_draw_requested = false;
     budget::purse account;
     budget::budget_controller controller;
     std::map<std::string, std::int64_t> wanted_totals;
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -119,6 +119,10 @@
             .store = this->options.store,
             .budget = this->options.settings.budget,
             .run_control = [this](std::function<void()> task) { this->control.post(std::move(task)); },
+            .run_control_at =
+                [this](core::steady_time time, std::function<void()> task) {
+                    this->control.post_at(time, std::move(task));
+                },
             .run_blocking = [this](std::function<void()> task) { this->run_blocking(std::move(task)); },
             .on_change = [this] { asio::post(this->io, [this] { this->budget.check(clock::now()); }); },
         };
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -35,10 +35,9 @@
     /** Use that a grant covers: it outlasts an outage of the object API of nine seconds, and is lost when the
      * node loses power. */
     std::chrono::seconds horizon{10};
-    /** Share of what is left of a budget that all nodes hold together, in sixteenths, while nothing is spent;
-     * it shrinks with the fraction that is left. A loss of power of all nodes then costs about 2% of a budget
-     * of which a quarter is left. */
-    int held_sixteenths = 6;
+    /** Share of what is left of a budget that all nodes hold together, in sixteenths; it shrinks further once
+     * less than 0.4 of the budget is left. */
+    int held_sixteenths = 8;
     std::int64_t minimum_draw_tokens = 12000; ///< A smaller draw is not worth a write.
 };
 
