--- /dev/null
+++ b/tests/gateway/loopback_gateway.cpp
@@ -0,0 +1,370 @@
+#include "gateway/loopback_gateway.h"
+
+#include "gateway/control/prepaid_deposits.h"
+#include "platform/wire/header_names.h"
+#include "platform/wire/request_headers.h"
+#include "support/fake_object_store.h"
+
+#include <boost/algorithm/string/predicate.hpp>
+#include <boost/algorithm/string/replace.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <criterion/criterion.h>
+#include <list>
+#include <sstream>
+
+namespace samphireway::testing {
+
+namespace {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::milliseconds;
+
+constexpr milliseconds part_pause{5};
+// Ends a test whose response never comes; no sound test gets near it.
+constexpr std::chrono::seconds test_limit{20};
+// A response is over when nothing more comes for this long.
+constexpr milliseconds quiet_time{60};
+
+const std::string workspace = "rim";
+constexpr std::int64_t prepaid = 1'000'000;
+
+const tcp::endpoint any_port(asio::ip::address_v4::loopback(), 0);
+
+std::size_t body_length(const received_request& request)
+{
+    const std::string length = request.header("Content-Length");
+    return length.empty() ? 0 : std::stoul(length);
+}
+
+} // namespace
+
+std::string received_request::header(const std::string& name) const
+{
+    std::istringstream lines(this->head);
+    std::string line;
+    while (std::getline(lines, line)) {
+        if (boost::algorithm::istarts_with(line, name + ": ")) {
+            return line.substr(name.size() + 2, line.find('\r') - name.size() - 2);
+        }
+    }
+    return {};
+}
+
+class scripted_upstream::implementation {
+public:
+    implementation(asio::io_context& given_context, std::string given_name, script given)
+        : context(given_context), acceptor(given_context, any_port), name(std::move(given_name)),
+          answer(std::move(given))
+    {
+        this->accept();
+    }
+
+    asio::io_context& context;
+    tcp::acceptor acceptor;
+    const std::string name;
+    const script answer;
+    std::vector<received_request> received;
+    int closed = 0;
+
+private:
+    struct connection {
+        explicit connection(tcp::socket given) : socket(std::move(given)), timer(this->socket.get_executor())
+        {
+        }
+
+        tcp::socket socket;
+        asio::steady_timer timer;
+        std::string buffer;
+        received_request request;
+        upstream_reply reply;
+        std::size_t next_part = 0;
+    };
+
+    void accept()
+    {
+        this->acceptor.async_accept([this](error_code failure, tcp::socket socket) {
+            if (!failure) {
+                this->read(std::make_shared<connection>(std::move(socket)));
+                this->accept();
+            }
+        });
+    }
+
+    void read(const std::shared_ptr<connection>& client)
+    {
+        asio::async_read_until(client->socket, asio::dynamic_buffer(client->buffer), "\r\n\r\n",
+                               [this, client](error_code failure, std::size_t length) {
+                                   if (failure) {
+                                       ++this->closed;
+                                       return;
+                                   }
+                                   client->request.head = client->buffer.substr(0, length);
+                                   client->buffer.erase(0, length);
+                                   this->read_body(client);
+                               });
+    }
+
+    void read_body(const std::shared_ptr<connection>& client)
+    {
+        const std::size_t length = body_length(client->request);
+        if (client->buffer.size() >= length) {
+            client->request.body = client->buffer.substr(0, length);
+            client->buffer.erase(0, length);
+            this->received.push_back(client->request);
+            client->reply = this->answer(client->request);
+            client->next_part = 0;
+            this->write(client);
+            return;
+        }
+        asio::async_read(client->socket, asio::dynamic_buffer(client->buffer),
+                         asio::transfer_exactly(length - client->buffer.size()),
+                         [this, client](error_code failure, std::size_t) {
+                             failure ? static_cast<void>(++this->closed) : this->read_body(client);
+                         });
+    }
+
+    void write(const std::shared_ptr<connection>& client)
+    {
+        if (client->next_part >= client->reply.parts.size()) {
+            this->finish(client);
+            return;
+        }
+        std::string& part = client->reply.parts[client->next_part++];
+        boost::algorithm::replace_all(part, "{id}",
+                                      client->request.header(std::string(adapter::header_names::attempt_id)));
+        asio::async_write(client->socket, asio::buffer(part),
+                          [this, client](error_code failure, std::size_t) {
+                              if (failure) {
+                                  ++this->closed;
+                                  return;
+                              }
+                              client->timer.expires_after(part_pause);
+                              client->timer.async_wait([this, client](error_code) { this->write(client); });
+                          });
+    }
+
+    void finish(const std::shared_ptr<connection>& client)
+    {
+        error_code ignored; // The peer may have closed first.
+        if (client->reply.is_reset) {
+            client->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        }
+        if (client->reply.is_reset || client->reply.is_closed) {
+            client->socket.close(ignored);
+            return;
+        }
+        this->read(client);
+    }
+};
+
+scripted_upstream::scripted_upstream(asio::io_context& context, std::string name, script given)
+    : state(std::make_unique<implementation>(context, std::move(name), std::move(given)))
+{
+}
+
+scripted_upstream::~scripted_upstream() = default;
+
+gateway::upstream scripted_upstream::entry() const
+{
+    return gateway::upstream{.id = this->state->name,
+                             .service = "desk",
+                             .address = "127.0.0.1",
+                             .port = this->state->acceptor.local_endpoint().port(),
+                             .availability_zone = "here",
+                             .version = "v1"};
+}
+
+const std::vector<received_request>& scripted_upstream::requests() const
+{
+    return this->state->received;
+}
+
+int scripted_upstream::closed_connections() const
+{
+    return this->state->closed;
+}
+
+class loopback_gateway::implementation {
+public:
+    implementation()
+        : purse({.holder = "node.0", .draw = {.horizon = std::chrono::seconds(10)}}),
+          budget(this->purse, {.can_draw = [] { return true; },
+                               .borrow =
+                                   [](const std::string&, std::int64_t, auto on_loan) {
+                                       on_loan(tl::unexpected(core::error{}));
+                                   }}),
+          context{.io = this->io,
+                  .availability_zone = this->zone,
+                  .board = this->board,
+                  .dialect = this->dialect,
+                  .budget = this->budget,
+                  .health = this->health,
+                  .retries = this->retries,
+                  .pool = this->pool,
+                  .loads = this->loads,
+                  .drain = this->drain,
+                  .counts = this->counts},
+          ledger(budget::purse::object_key(0))
+    {
+        const auto stored =
+            gateway::store_deposits(this->store.hooks(), this->purse,
+                                    {.totals = {{workspace, prepaid}}, .node = "x", .holder = "x.0"});
+        cr_assert(stored.has_value());
+    }
+
+    /** Lets the purse draw and settle, as the control thread of a node does. */
+    void supply()
+    {
+        for (const budget::shard_update& update : this->purse.collect(std::chrono::steady_clock::now())) {
+            const auto written = budget::perform(this->ledger, this->store.hooks(), update);
+            cr_assert(written.has_value());
+            this->purse.finish(update, *written);
+        }
+        this->budget.check(std::chrono::steady_clock::now());
+    }
+
+    bool run_until(const std::function<bool()>& condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + test_limit;
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            this->supply();
+            this->io.run_for(milliseconds(2));
+            this->io.restart();
+        }
+        return condition();
+    }
+
+    asio::io_context io;
+    const std::string zone = "here";
+    gateway::blackboard board;
+    const gateway::header_dialect dialect = adapter::make_header_dialect();
+    fake_object_store store;
+    budget::purse purse;
+    gateway::budget_access budget;
+    routing::health_table health{routing::health_options{}};
+    traffic::retry_budget retries{traffic::retry_budget_options{}};
+    gateway::upstream_pool pool{this->io};
+    gateway::load_tracker loads;
+    gateway::drain_state drain;
+    gateway::counters counts;
+    gateway::gateway_context context;
+    escrow::ledger_client ledger;
+    std::list<std::unique_ptr<scripted_upstream>> upstreams;
+    std::unique_ptr<gateway::front_listener> front;
+    std::uint16_t port = 0;
+};
+
+loopback_gateway::loopback_gateway() : state(std::make_unique<implementation>())
+{
+    tcp::acceptor probe(this->state->io, any_port);
+    this->state->port = probe.local_endpoint().port();
+    probe.close();
+    this->state->front = std::make_unique<gateway::front_listener>(
+        this->state->context, tcp::endpoint(asio::ip::address_v4::loopback(), this->state->port));
+    cr_assert(this->state->front->start().has_value());
+}
+
+loopback_gateway::~loopback_gateway()
+{
+    this->state->io.stop();
+}
+
+scripted_upstream& loopback_gateway::add_upstream(scripted_upstream::script given)
+{
+    const std::string name = "upstream-" + std::to_string(this->state->upstreams.size());
+    this->state->upstreams.push_back(
+        std::make_unique<scripted_upstream>(this->state->io, name, std::move(given)));
+    auto table = std::make_shared<gateway::upstream_table>();
+    for (const std::unique_ptr<scripted_upstream>& entry : this->state->upstreams) {
+        table->by_service["desk"].push_back(std::make_shared<gateway::upstream>(entry->entry()));
+    }
+    this->state->board.upstreams.publish(table);
+    return *this->state->upstreams.back();
+}
+
+void loopback_gateway::configure(gateway::route changed)
+{
+    changed.host = "shop.example";
+    changed.path_prefix = "/r/";
+    changed.shares = {{"desk", 1}};
+    gateway::configuration source{.version = 1};
+    source.routes.push_back(std::move(changed));
+    source.services["desk"] = {.name = "desk", .engine = gateway::engine_facts{.tokens_per_event = 5}};
+    source.workspaces.push_back({.name = workspace, .keys = {"k1"}, .prepaid_tokens = prepaid});
+    source.limits.header_bytes = 4096;
+    source.limits.body_bytes = 8192;
+    this->state->board.routes.publish(std::make_shared<gateway::route_table>(std::move(source)));
+}
+
+std::string loopback_gateway::send(const std::string& bytes)
+{
+    tcp::socket socket(this->state->io);
+    socket.connect(tcp::endpoint(asio::ip::address_v4::loopback(), this->state->port));
+    asio::write(socket, asio::buffer(bytes));
+    std::string response;
+    std::array<char, 4096> part{};
+    bool is_over = false;
+    auto last_byte = std::chrono::steady_clock::now();
+    const std::function<void()> read = [&] {
+        socket.async_read_some(asio::buffer(part), [&](error_code failure, std::size_t count) {
+            response.append(part.data(), count);
+            last_byte = std::chrono::steady_clock::now();
+            if (failure) {
+                is_over = true;
+                return;
+            }
+            read();
+        });
+    };
+    read();
+    this->state->run_until([&] {
+        const bool is_quiet = std::chrono::steady_clock::now() - last_byte > quiet_time;
+        return is_over || (is_quiet && !response.empty() && this->state->counts.requests_in_flight == 0);
+    });
+    socket.close();
+    this->state->io.run_for(milliseconds(1));
+    this->state->io.restart();
+    return response;
+}
+
+void loopback_gateway::send_and_leave(const std::string& bytes)
+{
+    tcp::socket socket(this->state->io);
+    socket.connect(tcp::endpoint(asio::ip::address_v4::loopback(), this->state->port));
+    asio::write(socket, asio::buffer(bytes));
+    cr_assert(this->state->run_until([this] { return !this->state->upstreams.front()->requests().empty(); }));
+    socket.close();
+}
+
+bool loopback_gateway::run_until(const std::function<bool()>& condition)
+{
+    return this->state->run_until(condition);
+}
+
+gateway::drain_state& loopback_gateway::drain()
+{
+    return this->state->drain;
+}
+
+gateway::counters& loopback_gateway::counts()
+{
+    return this->state->counts;
+}
+
+std::int64_t loopback_gateway::billed_tokens() const
+{
+    const auto found = this->state->store.peek(budget::purse::object_key(0));
+    std::int64_t total = 0;
+    const escrow::ledger ledger = *escrow::ledger_from_json(found->value);
+    for (const auto& [holder, entry] : ledger.accounts.at(workspace).holders) {
+        total += entry.granted;
+    }
+    return total - this->state->purse.free(workspace);
+}
+
+} // namespace samphireway::testing
--- /dev/null
+++ b/tests/gateway/placement_test.cpp
@@ -0,0 +1,97 @@
+#include "gateway/placement/load_tracker.h"
+#include "gateway/placement/placement.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <map>
+#include <set>
+
+namespace {
+
+using namespace samphireway;
+using namespace std::chrono_literals;
+using gateway::choose_upstream;
+using gateway::placement_candidate;
+using gateway::placement_request;
+
+std::vector<placement_candidate> engines(int count)
+{
+    std::vector<placement_candidate> result;
+    for (int index = 0; index < count; ++index) {
+        result.push_back({.id = "engine-" + std::to_string(index)});
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against nodes that send the same prompt prefix to different engines, which then all read it.
+Test(placement, nodes_agree_on_the_upstream_of_a_prefix)
+{
+    const std::vector<placement_candidate> one = engines(12);
+    std::vector<placement_candidate> other = engines(12);
+    std::reverse(other.begin(), other.end());
+    std::set<std::string> used;
+    for (std::uint64_t prefix = 0; prefix < 200; ++prefix) {
+        const std::string chosen = one[*choose_upstream(one, {.prefix = prefix, .selector = 1})].id;
+        cr_assert_eq(chosen, other[*choose_upstream(other, {.prefix = prefix, .selector = 2})].id);
+        used.insert(chosen);
+    }
+    cr_assert_eq(used.size(), 12U);
+}
+
+// Load: one prefix gets all requests. Guards against an engine that holds them all while others are empty.
+Test(placement, hot_prefix_spreads_over_upstreams)
+{
+    std::vector<placement_candidate> candidates = engines(6);
+    for (int request = 0; request < 60; ++request) {
+        ++candidates[*choose_upstream(candidates, {.prefix = 7})].in_flight;
+    }
+    const auto busiest =
+        std::max_element(candidates.begin(), candidates.end(), [](const auto& left, const auto& right) {
+            return left.in_flight < right.in_flight;
+        });
+    // A quarter above the mean of 10, plus the slack.
+    cr_assert_leq(busiest->in_flight, 15);
+}
+
+// Load: requests without a prefix. Guards against work for a failing or full upstream while a sound one is
+// idle.
+Test(placement, sound_upstreams_go_first)
+{
+    std::vector<placement_candidate> candidates = engines(3);
+    candidates[0].is_suspect = true;
+    candidates[1].is_full = true;
+    candidates[2].in_flight = 9;
+    cr_assert_eq(*choose_upstream(candidates, {}), 2U);
+    candidates.pop_back();
+    cr_assert_eq(*choose_upstream(candidates, {}), 1U);
+    candidates.pop_back();
+    cr_assert_eq(*choose_upstream(candidates, {}), 0U);
+    cr_assert_not(choose_upstream({}, {}).has_value());
+}
+
+// Guards against traffic between availability zones when an equally loaded upstream is near.
+Test(placement, near_upstream_breaks_ties)
+{
+    std::vector<placement_candidate> candidates = engines(4);
+    candidates[3].is_same_zone = true;
+    for (std::uint64_t selector = 0; selector < 20; ++selector) {
+        cr_assert_eq(*choose_upstream(candidates, {.selector = selector}), 3U);
+    }
+    candidates[3].in_flight = 1;
+    cr_assert_neq(*choose_upstream(candidates, {.selector = 1}), 3U);
+}
+
+// Guards against an upstream that counts as full for good after one refusal.
+Test(placement, fullness_ends_by_time)
+{
+    gateway::load_tracker loads;
+    const core::steady_time start{1h};
+    loads.begin("engine");
+    loads.refused_as_full("engine", start);
+    cr_assert_gt(loads.read("engine").full_until, start);
+    cr_assert_lt(loads.read("engine").full_until, start + 1s);
+    loads.end("engine");
+    cr_assert_eq(loads.read("engine").in_flight, 0);
+}
--- /dev/null
+++ b/tests/gateway/upstream_tracker_test.cpp
@@ -0,0 +1,138 @@
+#include "gateway/control/configuration_tracker.h"
+#include "gateway/control/member_tracker.h"
+#include "gateway/control/upstream_tracker.h"
+#include "support/fake_object_store.h"
+
+#include <criterion/criterion.h>
+
+namespace {
+
+using namespace samphireway;
+using namespace std::chrono_literals;
+using gateway::followed_batch;
+
+const core::steady_time start{1h};
+
+/** Reads entries of the form {"draining": bool}; any other one is unusable. */
+core::result<gateway::upstream> read_entry(const platform::object& entry)
+{
+    if (!entry.value.isObject()) {
+        return core::failure(core::error_code::invalid_argument, "not an object");
+    }
+    return gateway::upstream{.id = entry.key.substr(entry.key.rfind('/') + 1),
+                             .service = "desk",
+                             .is_draining = core::boolean_member(entry.value, "draining")};
+}
+
+platform::object entry(const std::string& id, bool is_draining = false)
+{
+    Json::Value value(Json::objectValue);
+    value["draining"] = is_draining;
+    return {.key = "servers/" + id, .version = 1, .value = value};
+}
+
+platform::object removal(const std::string& id)
+{
+    return {.key = "servers/" + id, .version = 2, .value = {}};
+}
+
+followed_batch changes(std::vector<platform::object> objects)
+{
+    return {.batch = {.revision = 1, .changed = std::move(objects)}};
+}
+
+followed_batch listing(std::vector<platform::object> objects)
+{
+    return {.batch = {.revision = 1, .changed = std::move(objects)}, .is_full_list = true};
+}
+
+std::size_t size_of(const gateway::upstream_tracker& tracker)
+{
+    const auto table = tracker.table();
+    const auto found = table->by_service.find("desk");
+    return found == table->by_service.end() ? 0 : found->second.size();
+}
+
+} // namespace
+
+// Guards against a fleet without upstreams after an outage in which their entries lapsed.
+Test(upstream_tracker, lapsed_entries_are_kept_until_they_can_be_back)
+{
+    gateway::upstream_tracker tracker(read_entry);
+    tracker.apply(listing({entry("a"), entry("b"), entry("c")}), start);
+    tracker.lost_contact(start + 1s);
+    tracker.apply(changes({removal("a"), removal("b")}), start + 5s);
+    cr_assert_eq(size_of(tracker), 3U);
+    tracker.apply(changes({entry("a")}), start + 6s);
+    cr_assert(tracker.expire(start + 8s));
+    cr_assert_eq(size_of(tracker), 2U);
+}
+
+// Guards against work for an upstream that is gone: without an outage a removal counts at once.
+Test(upstream_tracker, removals_and_draining_count_at_once)
+{
+    gateway::upstream_tracker tracker(read_entry);
+    tracker.apply(listing({entry("a"), entry("b")}), start);
+    cr_assert(tracker.apply(changes({removal("a")}), start + 1s));
+    cr_assert_eq(size_of(tracker), 1U);
+    cr_assert(tracker.apply(changes({entry("b", true)}), start + 1s));
+    cr_assert(tracker.table()->by_service.at("desk").front()->is_draining);
+    tracker.lost_contact(start + 2s);
+    cr_assert(tracker.apply(changes({removal("b")}), start + 3s));
+    cr_assert_eq(size_of(tracker), 0U);
+}
+
+// Guards against an upstream that stays in the table although a new listing lacks it.
+Test(upstream_tracker, listing_removes_what_it_lacks)
+{
+    gateway::upstream_tracker tracker(read_entry);
+    tracker.apply(listing({entry("a"), entry("b")}), start);
+    tracker.apply(listing({entry("b")}), start + 1s);
+    cr_assert_eq(size_of(tracker), 1U);
+}
+
+// Guards against use of an entry that cannot be read, and against its harm to the others.
+Test(upstream_tracker, unusable_entry_names_no_upstream)
+{
+    gateway::upstream_tracker tracker(read_entry);
+    tracker.apply(listing({entry("a"), entry("b")}), start);
+    tracker.apply(changes({{.key = "servers/a", .version = 2, .value = Json::Value("bytes")}}), start);
+    cr_assert_eq(size_of(tracker), 1U);
+}
+
+// Guards against a configuration that goes back to a lower version, and against one that cannot be read.
+Test(configuration_tracker, version_never_goes_down)
+{
+    gateway::configuration_tracker tracker(
+        "config/main", [](const Json::Value& value) -> core::result<gateway::configuration> {
+            if (!value.isInt()) {
+                return core::failure(core::error_code::invalid_argument, "not a number");
+            }
+            return gateway::configuration{.version = static_cast<std::uint64_t>(value.asInt())};
+        });
+    const auto put = [](const Json::Value& value) {
+        return changes({{.key = "config/main", .version = 1, .value = value}});
+    };
+    cr_assert_eq(tracker.apply(put(7))->source().version, 7U);
+    cr_assert_null(tracker.apply(put(5)).get());
+    cr_assert_null(tracker.apply(put("broken")).get());
+    cr_assert_null(tracker.apply(changes({{.key = "config/main", .version = 9, .value = {}}})).get());
+    cr_assert_eq(tracker.version(), 7U);
+    cr_assert_eq(tracker.apply(put(12))->source().version, 12U);
+}
+
+// Guards against an entry of an earlier process of the node that hides the running one.
+Test(member_tracker, node_replaces_its_earlier_entry)
+{
+    testing::fake_object_store store;
+    const gateway::member first{.id = "node", .address = "10.1.0.19", .port = 7200, .token = "old"};
+    gateway::member second = first;
+    second.token = "new";
+    cr_assert(gateway::store_member(store.hooks(), first).has_value());
+    cr_assert(gateway::store_member(store.hooks(), second).has_value());
+    gateway::member_tracker tracker;
+    const auto list =
+        tracker.apply({.batch = *store.hooks().list(gateway::members_prefix), .is_full_list = true});
+    cr_assert_eq(list->members.size(), 1U);
+    cr_assert(list->members.front() == second);
+}
