--- a/modules/gateway/budget/budget_access.cpp
+++ b/modules/gateway/budget/budget_access.cpp
@@ -27,7 +27,7 @@
 }
 
 void budget_access::reserve(const std::string& workspace, std::int64_t tokens, core::steady_time now,
-                            core::steady_time deadline, outcome_handler on_outcome)
+                            core::steady_time deadline, const outcome_handler& on_outcome)
 {
     core::result<budget::reservation> granted = this->purse.reserve(workspace, tokens);
     if (granted) {
@@ -87,7 +87,7 @@
 }
 
 void budget_access::lend(const std::string& workspace, std::int64_t tokens, core::steady_time now,
-                         std::function<void(core::result<std::int64_t>)> on_outcome)
+                         const std::function<void(core::result<std::int64_t>)>& on_outcome)
 {
     const auto book = [this, tokens, on_outcome](core::result<budget::reservation> outcome) {
         if (!outcome) {
--- a/modules/gateway/budget/budget_access.h
+++ b/modules/gateway/budget/budget_access.h
@@ -49,14 +49,14 @@
     /** Sets tokens aside, at once or later. Fails with `budget_exhausted` when the workspace cannot pay and
      * with `budget_unavailable` when nothing could be drawn or borrowed in time. */
     void reserve(const std::string& workspace, std::int64_t tokens, core::steady_time now,
-                 core::steady_time deadline, outcome_handler on_outcome);
+                 core::steady_time deadline, const outcome_handler& on_outcome);
 
     /** Ends a reservation; what was not used is free again. */
     void settle(const held_budget& held, std::int64_t used);
 
     /** Gives tokens of this node to another one, when it can spare them. */
     void lend(const std::string& workspace, std::int64_t tokens, core::steady_time now,
-              std::function<void(core::result<std::int64_t>)> on_outcome);
+              const std::function<void(core::result<std::int64_t>)>& on_outcome);
 
     /** Looks again at waiting requests. Call after draws and from time to time. */
     void check(core::steady_time now);
--- a/modules/gateway/control/prepaid_deposits.cpp
+++ b/modules/gateway/control/prepaid_deposits.cpp
@@ -9,6 +9,15 @@
 
 const std::string deposit_id = "configuration";
 
+std::size_t count_entries(const escrow::ledger& ledger)
+{
+    std::size_t count = 0;
+    for (const auto& [name, account] : ledger.accounts) {
+        count += account.holders.size();
+    }
+    return count;
+}
+
 } // namespace
 
 std::map<std::string, std::int64_t> prepaid_amounts(const configuration& source)
@@ -35,8 +44,8 @@
     return is_changed;
 }
 
-bool close_predecessors(escrow::account& target, const std::string& node, const std::string& holder,
-                        std::int64_t now_ms)
+std::int64_t close_predecessors(escrow::account& target, const std::string& node, const std::string& holder,
+                                std::int64_t now_ms)
 {
     std::vector<std::pair<std::string, escrow::amount>> left;
     for (const auto& [id, entry] : target.holders) {
@@ -46,12 +55,17 @@
             left.emplace_back(id, entry.outstanding());
         }
     }
+    std::int64_t written_off = 0;
     for (const auto& [id, outstanding] : left) {
         const core::result<escrow::closure> closed = escrow::close_holder(target, id, outstanding, now_ms);
-        core::log_event(core::log_level::info, "grant_written_off",
-                        {{"holder", id}, {"amount", outstanding}, {"closed", closed ? "true" : "false"}});
+        if (!closed) {
+            core::log_event(core::log_level::error, "grant_not_closed",
+                            {{"holder", id}, {"reason", closed.error().message}});
+            continue;
+        }
+        written_off += outstanding;
     }
-    return !left.empty();
+    return written_off;
 }
 
 core::result<void> store_deposits(const platform::object_store& store, const budget::purse& purse,
@@ -64,18 +78,24 @@
     const std::int64_t now_ms = core::to_unix_ms(std::chrono::system_clock::now());
     for (const auto& [shard, part] : by_ledger) {
         escrow::ledger_client client(budget::purse::object_key(shard));
+        std::int64_t written_off = 0;
         const core::result<escrow::ledger> written =
             client.update(store, [&, &totals = part](escrow::ledger& ledger) {
-                bool is_changed = raise_deposits(ledger, totals);
+                written_off = 0;
+                const std::size_t entries_before = count_entries(ledger);
+                const bool is_raised = raise_deposits(ledger, totals);
                 for (auto& [name, account] : ledger.accounts) {
-                    is_changed =
-                        close_predecessors(account, update.node, update.holder, now_ms) || is_changed;
+                    written_off += close_predecessors(account, update.node, update.holder, now_ms);
                 }
-                return is_changed;
+                return is_raised || count_entries(ledger) != entries_before;
             });
         if (!written) {
             return tl::unexpected(written.error());
         }
+        if (written_off > 0) {
+            core::log_event(core::log_level::info, "grants_written_off",
+                            {{"node", update.node}, {"ledger", shard}, {"amount", written_off}});
+        }
     }
     return {};
 }
--- a/modules/gateway/control/prepaid_deposits.h
+++ b/modules/gateway/control/prepaid_deposits.h
@@ -22,13 +22,13 @@
 bool raise_deposits(escrow::ledger& target, const std::map<std::string, std::int64_t>& totals);
 
 /**
-    Closes the entries that earlier processes of a node have left; returns whether the account has changed.
+    Closes the entries that earlier processes of a node have left; returns the tokens written off.
 
     Their whole outstanding grants count as spent, which is safe even if such a process still runs. It keeps
     their use and demand out of the decisions of the living holders.
 */
-bool close_predecessors(escrow::account& target, const std::string& node, const std::string& holder,
-                        std::int64_t now_ms);
+std::int64_t close_predecessors(escrow::account& target, const std::string& node, const std::string& holder,
+                                std::int64_t now_ms);
 
 /** What a node writes to the ledgers when it starts and when the configuration changes. @see store_deposits
  */
--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/exchange/exchange.h"
 
+#include "gateway/exchange/refusal.h"
 #include "gateway/placement/placement.h"
 
 #include <algorithm>
@@ -23,11 +24,6 @@
 constexpr std::int64_t logged_share = 16; ///< One of this many plain successes is logged.
 constexpr unsigned first_error_status = 400;
 
-bool is_promise(unsigned status)
-{
-    return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
 /** Returns the hash of the parts of a prompt that other requests share: all but the last one. */
 std::optional<std::uint64_t> hash_shared_parts(const std::vector<prompt_part>& parts)
 {
@@ -42,27 +38,6 @@
     return core::hash64(key);
 }
 
-response_head refusal_head(const core::error& cause, milliseconds advice)
-{
-    response_head head{.status = static_cast<unsigned>(core::http_status(cause.code)), .reason = {}};
-    head.headers.emplace_back("Content-Type", "application/json");
-    head.headers.emplace_back("Samphireway-Verdict", std::string(core::to_string(cause.run)));
-    if (is_promise(head.status)) {
-        const std::string fraction = std::to_string(1000 + advice.count() % 1000).substr(1);
-        head.headers.emplace_back("Retry-After", std::to_string(advice.count() / 1000) + "." + fraction);
-    }
-    return head;
-}
-
-std::string refusal_body(const core::error& cause)
-{
-    Json::Value body;
-    body["error"]["code"] = std::string(core::to_string(cause.code));
-    body["error"]["message"] = cause.message;
-    body["error"]["verdict"] = std::string(core::to_string(cause.run));
-    return core::write_json(body);
-}
-
 } // namespace
 
 exchange::exchange(gateway_context& shared, request_message received, responder answer,
@@ -278,7 +253,7 @@
         return response_use::pass_stream;
     }
     // A status that promises "not run" must not be passed on from an upstream that has not promised it.
-    if (is_promise(received.status) || (this->has_begun_stream && !is_success)) {
+    if (promises_not_run(received.status) || (this->has_begun_stream && !is_success)) {
         return response_use::unusable;
     }
     return response_use::pass_whole;
@@ -387,7 +362,7 @@
     const unsigned status = this->head.status;
     const std::shared_ptr<exchange> self = this->shared_from_this();
     this->finish(status < first_error_status ? "served" : "failed_by_upstream", status, "");
-    this->requester.send_whole(this->head, std::move(this->body));
+    this->requester.send_whole(this->head, this->body);
 }
 
 void exchange::complete_stream()
@@ -521,14 +496,14 @@
     }
     const milliseconds advice = retry_after(std::max(cause.retry_after, milliseconds(10)),
                                             std::max(this->time_left(), milliseconds(0)), this->selector);
-    const response_head refusal = refusal_head(final_cause, advice);
+    const response_head refusal = make_refusal_head(final_cause, advice);
     const bool was_started = this->has_begun_stream;
     this->finish(was_started ? "broken_off" : "refused", refusal.status, final_cause.message);
     if (was_started) {
         this->requester.abort();
         return;
     }
-    this->requester.send_whole(refusal, refusal_body(final_cause));
+    this->requester.send_whole(refusal, make_refusal_body(final_cause));
 }
 
 void exchange::requester_left()
--- /dev/null
+++ b/modules/gateway/exchange/refusal.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "core/core.h"
+#include "gateway/model/messages.h"
+
+#include <chrono>
+#include <string>
+
+namespace samphireway::gateway {
+
+/** Returns whether a status tells a requester that its request has not run and never will. */
+bool promises_not_run(unsigned status);
+
+/** Returns the head of a refusal: status and verdict of the cause, and `advice` as Retry-After where the
+ * status promises that the request has not run. */
+response_head make_refusal_head(const core::error& cause, std::chrono::milliseconds advice);
+
+/** Returns the body of a refusal: code, message and verdict as JSON. */
+std::string make_refusal_body(const core::error& cause);
+
+} // namespace samphireway::gateway
--- a/modules/gateway/exchange/responder.h
+++ b/modules/gateway/exchange/responder.h
@@ -17,7 +17,7 @@
 */
 struct responder {
     /** Sends a whole response; its length is set from the body. */
-    std::function<void(const response_head& head, std::string body)> send_whole;
+    std::function<void(const response_head& head, const std::string& body)> send_whole;
 
     /** Starts a response whose length is not known yet. */
     std::function<void(const response_head& head)> begin_stream;
--- a/modules/gateway/http/front_session.cpp
+++ b/modules/gateway/http/front_session.cpp
@@ -252,7 +252,7 @@
         const std::shared_ptr<front_session> self = this->owner.shared_from_this();
         return responder{
             .send_whole = [self, this](const response_head& head,
-                                       std::string body) { this->send_whole(head, std::move(body)); },
+                                       const std::string& body) { this->send_whole(head, body); },
             .begin_stream = [self, this](const response_head& head) { this->begin_stream(head); },
             .send_part = [self, this](std::string bytes) { this->send_part(std::move(bytes)); },
             .end_stream = [self, this] { this->end_stream(); },
@@ -271,7 +271,7 @@
         return this->is_kept;
     }
 
-    void send_whole(const response_head& head, std::string body)
+    void send_whole(const response_head& head, const std::string& body)
     {
         if (this->phase != session_phase::serving) {
             return;
--- a/tests/gateway/budget_access_test.cpp
+++ b/tests/gateway/budget_access_test.cpp
@@ -143,20 +143,21 @@
 Test(budget_access, loans_count_against_the_budget)
 {
     constexpr amount prepaid = 50000;
+    constexpr amount request_size = 3000;
     budget_nodes nodes(2, prepaid);
     nodes.cut(0);
     amount used = 0;
     bool is_exhausted = false;
     for (int request = 0; request < 40 && !is_exhausted; ++request) {
-        const core::result<gateway::held_budget> held = nodes.reserve(request % 2, 3000);
+        const core::result<gateway::held_budget> held = nodes.reserve(request % 2, request_size);
         if (held) {
-            nodes.access(request % 2).settle(*held, 3000);
-            used += 3000;
+            nodes.access(request % 2).settle(*held, request_size);
+            used += request_size;
         }
         is_exhausted = !held && request % 2 == 1;
     }
     cr_assert_leq(used, prepaid);
-    cr_assert_geq(used, prepaid - 3000 * 2);
+    cr_assert_geq(used, prepaid - request_size - request_size);
     cr_assert(is_exhausted);
 }
 
@@ -198,12 +199,12 @@
     escrow::apply_update(account, "node-1.a", {.draw = 300, .sequence = 1});
     escrow::apply_update(account, "node-1.b", {.draw = 100, .sequence = 1});
     escrow::apply_update(account, "node-10.a", {.draw = 200, .sequence = 1});
-    cr_assert(gateway::close_predecessors(account, "node-1", "node-1.b", 0));
+    cr_assert_eq(gateway::close_predecessors(account, "node-1", "node-1.b", 0), 300);
     cr_assert_not(account.holders.contains("node-1.a"));
     cr_assert(account.holders.contains("node-1.b"));
     cr_assert(account.holders.contains("node-10.a"));
     cr_assert_eq(account.available(), 400);
-    cr_assert_not(gateway::close_predecessors(account, "node-1", "node-1.b", 0));
+    cr_assert_eq(gateway::close_predecessors(account, "node-1", "node-1.b", 0), 0);
 }
 
 // Guards against calls of other nodes that a lender would misread.
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -12,7 +12,6 @@
 using namespace std::chrono_literals;
 using gateway::choose_upstream;
 using gateway::placement_candidate;
-using gateway::placement_request;
 
 std::vector<placement_candidate> engines(int count)
 {
