Let eight nodes draw budget and the others borrow from them

Cause: on the grown deployments every node wrote each settlement and draw to the one budget ledger. With 78 nodes nearly every write met a conflict (521 writes given up in 17 s, each after several calls), most draws failed, and 57% of the requests in the first seconds were refused for want of budget.

Ruled out: more ledgers (each node would write to all of them, and the calls of small fleets would rise fourfold); a retry with longer pauses (the draws themselves are too many).

Change: the first eight nodes by the hash of their id draw; the others ask them for loans. A loan stays reserved at the lender until the borrower reports it used or returns it; reports are sent once and name the process that lent. Without a report a loan counts as spent after 30 s. Changes of members and upstreams are gathered before the next watch.

Refusals at the start of traffic and during cuts from the store remain.

--- a/modules/gateway/budget/budget_access.cpp
+++ b/modules/gateway/budget/budget_access.cpp
@@ -12,6 +12,8 @@
 constexpr milliseconds draw_wait{600};
 // Another node waits for the answer, so a draw for it must be quick.
 constexpr milliseconds lend_wait{150};
+// Lenders size their draws by what was used, which they measure once a second.
+constexpr milliseconds report_interval{1000};
 
 core::error unavailable(const std::string& workspace)
 {
@@ -22,7 +24,7 @@
 } // namespace
 
 budget_access::budget_access(budget::purse& given_purse, budget_access_hooks given)
-    : purse(given_purse), waiters(given_purse), hooks(std::move(given))
+    : purse(given_purse), waiters(given_purse), hooks(std::move(given)), lent(given_purse)
 {
 }
 
@@ -31,50 +33,69 @@
 {
     core::result<budget::reservation> granted = this->purse.reserve(workspace, tokens);
     if (granted) {
-        on_outcome(held_budget{.workspace = workspace, .tokens = tokens, .grant = std::move(*granted)});
+        on_outcome(held_budget{
+            .workspace = workspace, .tokens = tokens, .grant = std::move(*granted), .lender = {}});
         return;
     }
     if (std::optional<held_budget> held = this->take_borrowed(workspace, tokens)) {
         on_outcome(std::move(*held));
         return;
     }
-    if (this->hooks.can_draw()) {
-        this->waiters.reserve(workspace, tokens, now, std::min(deadline, now + draw_wait),
-                              [workspace, tokens, on_outcome](core::result<budget::reservation> outcome) {
-                                  if (!outcome) {
-                                      on_outcome(tl::unexpected(outcome.error()));
-                                      return;
-                                  }
-                                  on_outcome(held_budget{.workspace = workspace,
-                                                         .tokens = tokens,
-                                                         .grant = std::move(*outcome)});
-                              });
+    if (this->hooks.is_drawer() && this->hooks.can_draw()) {
+        this->await_draw(workspace, tokens, now, deadline, on_outcome);
         return;
     }
     this->hooks.borrow(workspace, tokens,
-                       [this, workspace, tokens, on_outcome](core::result<std::int64_t> loan) {
-                           if (!loan) {
-                               on_outcome(tl::unexpected(loan.error()));
-                               return;
-                           }
-                           this->borrowed[workspace] += *loan;
-                           std::optional<held_budget> held = this->take_borrowed(workspace, tokens);
-                           if (!held) {
-                               on_outcome(tl::unexpected(unavailable(workspace)));
-                               return;
-                           }
-                           on_outcome(std::move(*held));
+                       [this, workspace, tokens, deadline, on_outcome](const core::result<loan>& received) {
+                           this->on_loan(workspace, tokens, received, deadline, on_outcome);
                        });
 }
 
+void budget_access::await_draw(const std::string& workspace, std::int64_t tokens, core::steady_time now,
+                               core::steady_time deadline, const outcome_handler& on_outcome)
+{
+    this->waiters.reserve(
+        workspace, tokens, now, std::min(deadline, now + draw_wait),
+        [workspace, tokens, on_outcome](core::result<budget::reservation> outcome) {
+            if (!outcome) {
+                on_outcome(tl::unexpected(outcome.error()));
+                return;
+            }
+            on_outcome(held_budget{
+                .workspace = workspace, .tokens = tokens, .grant = std::move(*outcome), .lender = {}});
+        });
+}
+
+void budget_access::on_loan(const std::string& workspace, std::int64_t tokens,
+                            const core::result<loan>& received, core::steady_time deadline,
+                            const outcome_handler& on_outcome)
+{
+    if (received) {
+        this->borrowed.add(workspace, *received);
+        std::optional<held_budget> held = this->take_borrowed(workspace, tokens);
+        on_outcome(held ? core::result<held_budget>(std::move(*held))
+                        : tl::unexpected(unavailable(workspace)));
+        return;
+    }
+    // After the loss of all nodes that draw, any node draws for itself.
+    const bool has_no_lender = received.error().code == core::error_code::no_upstream;
+    if (has_no_lender && !this->hooks.is_drawer() && this->hooks.can_draw()) {
+        this->await_draw(workspace, tokens, this->hooks.time.steady(), deadline, on_outcome);
+        return;
+    }
+    core::error cause = received.error();
+    cause.code = has_no_lender ? core::error_code::budget_unavailable : cause.code;
+    on_outcome(tl::unexpected(std::move(cause)));
+}
+
 std::optional<held_budget> budget_access::take_borrowed(const std::string& workspace, std::int64_t tokens)
 {
-    const auto found = this->borrowed.find(workspace);
-    if (found == this->borrowed.end() || found->second < tokens) {
+    std::optional<std::string> lender = this->borrowed.take(workspace, tokens);
+    if (!lender) {
         return std::nullopt;
     }
-    found->second -= tokens;
-    return held_budget{.workspace = workspace, .tokens = tokens, .grant = std::nullopt};
+    return held_budget{
+        .workspace = workspace, .tokens = tokens, .grant = std::nullopt, .lender = std::move(*lender)};
 }
 
 void budget_access::settle(const held_budget& held, std::int64_t used)
@@ -83,25 +104,31 @@
         this->purse.settle(*held.grant, used);
         return;
     }
-    this->borrowed[held.workspace] += held.tokens - std::clamp<std::int64_t>(used, 0, held.tokens);
+    this->borrowed.settle(held.workspace, held.lender, held.tokens, used);
 }
 
-void budget_access::lend(const std::string& workspace, std::int64_t tokens, core::steady_time now,
-                         const std::function<void(core::result<std::int64_t>)>& on_outcome)
+void budget_access::lend(const loan_call& call, core::steady_time now,
+                         const std::function<void(core::result<void>)>& on_outcome)
 {
-    const auto book = [this, tokens, on_outcome](core::result<budget::reservation> outcome) {
+    const auto enter = [this, borrower = call.borrower, now,
+                        on_outcome](core::result<budget::reservation> outcome) {
         if (!outcome) {
             on_outcome(tl::unexpected(outcome.error()));
             return;
         }
-        this->purse.settle(*outcome, tokens);
-        on_outcome(tokens);
+        this->lent.add(borrower, std::move(*outcome), now);
+        on_outcome({});
     };
     if (this->hooks.can_draw()) {
-        this->waiters.reserve(workspace, tokens, now, now + lend_wait, book);
+        this->waiters.reserve(call.workspace, call.tokens, now, now + lend_wait, enter);
         return;
     }
-    book(this->purse.reserve(workspace, tokens));
+    enter(this->purse.reserve(call.workspace, call.tokens));
+}
+
+void budget_access::take_report(const loan_report& report)
+{
+    this->lent.apply(report);
 }
 
 void budget_access::check(core::steady_time now)
@@ -109,4 +136,26 @@
     this->waiters.check(now);
 }
 
+void budget_access::sweep(core::steady_time now)
+{
+    this->lent.expire(now);
+    if (now >= this->next_report) {
+        this->next_report = now + report_interval;
+        this->send_reports(false);
+    }
+}
+
+void budget_access::close()
+{
+    this->send_reports(true);
+    this->lent.close_all();
+}
+
+void budget_access::send_reports(bool returns_all)
+{
+    for (const due_report& report : this->borrowed.take_reports(returns_all)) {
+        this->hooks.report(report, [this, report] { this->borrowed.restore(report); });
+    }
+}
+
 } // namespace samphireway::gateway
--- a/modules/gateway/budget/loan_client.h
+++ b/modules/gateway/budget/loan_client.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/budget/borrowed_budget.h"
+#include "gateway/budget/loan_messages.h"
 #include "gateway/http/upstream_pool.h"
 #include "gateway/model/member.h"
 
@@ -13,56 +15,54 @@
 
 namespace samphireway::gateway {
 
-/** Path of the call by which a node asks another one for budget. */
-inline const std::string loan_path = "/loans";
-
-/** Returns the body of a loan call. @see parse_loan_call */
-std::string make_loan_call(const std::string& workspace, std::int64_t tokens);
-
-/** A loan call as read by the lender. */
-struct loan_call {
-    std::string workspace;
-    std::int64_t tokens = 0;
-};
-
-/** Reads a loan call. Fails with `invalid_argument`. */
-core::result<loan_call> parse_loan_call(const std::string& body);
-
 /** Options of a loan client. @see loan_client */
 struct loan_client_options {
-    std::string node; ///< This node, which it does not ask.
+    std::string node;     ///< This node, which it does not ask.
+    std::string borrower; ///< This process.
     std::function<std::shared_ptr<const member_list>()> members;
 };
 
 /**
-    Borrows budget from other nodes, one after the other, until one of them lends.
+    Borrows budget from the nodes that draw, one after the other, until one of them lends.
 
-    A node that did not lend is not asked for a second: for the same workspace, or at all if it was silent.
+    A node that did not lend is not asked again for a while: for the same workspace, or at all if it was
+   silent.
    Traffic thread only.
 
-    @see budget_access
+    @see budget_access, choose_drawers
 */
 class loan_client {
 public:
-    using loan_handler = std::function<void(core::result<std::int64_t>)>;
+    using loan_handler = std::function<void(core::result<loan>)>;
 
     loan_client(boost::asio::io_context& context, loan_client_options given);
 
-    /** Asks for tokens. Fails with `budget_exhausted` or `budget_unavailable`. */
+    /** Asks for tokens. Fails with `budget_exhausted` when the workspace cannot pay, `budget_unavailable`
+     * when the lenders are short, and `no_upstream` when none can be reached. */
     void borrow(const std::string& workspace, std::int64_t tokens, loan_handler on_loan);
 
+    /** Sends a report to the process that lent, once; calls the handler when it certainly was not sent. */
+    void report(const due_report& due, std::function<void()> on_not_sent);
+
+    /** Returns whether a report is on its way. */
+    bool is_reporting() const noexcept
+    {
+        return this->reports_in_flight > 0;
+    }
+
 private:
-    struct loan;
+    struct search;
 
-    std::vector<member> lenders(const std::string& workspace, core::steady_time now);
-    void ask_next(const std::shared_ptr<loan>& asked);
-    void on_answer(const std::shared_ptr<loan>& asked, const member& lender, unsigned status);
+    std::vector<member> lenders(search& asked, core::steady_time now);
+    std::shared_ptr<upstream_connection> connect(const member& lender, core::steady_time now);
+    void ask_next(const std::shared_ptr<search>& asked);
+    void on_answer(const std::shared_ptr<search>& asked, const member& lender, unsigned status);
 
     boost::asio::io_context& io;
     const loan_client_options options;
     upstream_pool pool;
     std::unordered_map<std::string, core::steady_time> refused_until; ///< By node, or node and workspace.
-    std::uint64_t asked_count = 0;
+    int reports_in_flight = 0;
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -15,6 +15,8 @@
 constexpr std::chrono::seconds end_piece{1};
 constexpr std::chrono::seconds tail_phase{1};
 constexpr std::chrono::seconds kept_when_others_lack{2};
+// In a large fleet a node that draws does so for ten; the object API allows far more than this doubling.
+constexpr std::uint32_t ledgers_drawn_for = 4;
 // What was used since the last settlement counts as lost when the node loses power.
 constexpr milliseconds settle_interval{1000};
 // Shorter than a burst of one workspace, longer than the gaps between requests of a small one.
@@ -44,7 +46,7 @@
                                      .settle_interval = settle_interval,
                                      .demand_smoothing = demand_smoothing},
         .on_shortage = [this] { this->request_draw(); },
-        .calls = budget::call_limits_for(this->options.budget.ledgers)};
+        .calls = budget::call_limits_for(this->options.budget.ledgers * ledgers_drawn_for)};
 }
 
 budget::budget_controller_options budget_supply::controller_options()
@@ -86,14 +88,14 @@
     return store;
 }
 
-void budget_supply::set_deposits(std::map<std::string, std::int64_t> totals)
+void budget_supply::set_deposits(std::map<std::string, std::int64_t> totals, core::steady_time due)
 {
     if (totals == this->wanted_totals) {
         return;
     }
     this->wanted_totals = std::move(totals);
     this->are_totals_stored = false;
-    this->store_again_at = {};
+    this->store_again_at = due;
     this->tick(clock::now());
 }
 
--- a/modules/gateway/control/budget_supply.h
+++ b/modules/gateway/control/budget_supply.h
@@ -40,8 +40,8 @@
         return this->account;
     }
 
-    /** Sets the totals of the newest configuration, by workspace. */
-    void set_deposits(std::map<std::string, std::int64_t> totals);
+    /** Sets the totals of the newest configuration, by workspace; the ledgers get them from `due` on. */
+    void set_deposits(std::map<std::string, std::int64_t> totals, core::steady_time due);
 
     /** Starts what is due. */
     void tick(core::steady_time now);
--- a/modules/gateway/control/member_tracker.cpp
+++ b/modules/gateway/control/member_tracker.cpp
@@ -1,5 +1,7 @@
 #include "gateway/control/member_tracker.h"
 
+#include "gateway/budget/drawer_choice.h"
+
 namespace samphireway::gateway {
 
 namespace {
@@ -81,6 +83,7 @@
     for (const auto& [id, entry] : this->entries) {
         list->members.push_back(entry);
     }
+    list->drawers = choose_drawers(list->members, this->maximum_drawers);
     return list;
 }
 
--- a/modules/gateway/control/member_tracker.h
+++ b/modules/gateway/control/member_tracker.h
@@ -25,10 +25,14 @@
 /** Which nodes are registered, from the batches of a follower. Control thread only. @see object_follower */
 class member_tracker {
 public:
+    /** @param given_maximum largest number of nodes that draw from the budget ledgers. */
+    explicit member_tracker(std::size_t given_maximum) : maximum_drawers(given_maximum) {}
+
     /** Takes a batch in and returns the list to publish. */
     std::shared_ptr<const member_list> apply(const followed_batch& received);
 
 private:
+    const std::size_t maximum_drawers;
     std::map<std::string, member> entries;
 };
 
--- a/modules/gateway/control/object_follower.cpp
+++ b/modules/gateway/control/object_follower.cpp
@@ -37,6 +37,7 @@
             this->revision = next->batch.revision;
             this->next_pause = this->options.first_pause;
             this->options.on_batch(std::move(*next));
+            this->pause(this->options.least_interval);
             continue;
         }
         if (this->is_stopping) {
@@ -47,7 +48,8 @@
             this->is_listed = false;
             continue;
         }
-        this->pause();
+        this->pause(this->next_pause);
+        this->next_pause = std::min(this->next_pause * 2, this->options.longest_pause);
     }
 }
 
@@ -64,11 +66,13 @@
     return followed_batch{.batch = std::move(*batch), .is_full_list = !this->is_listed};
 }
 
-void object_follower::pause()
+void object_follower::pause(std::chrono::milliseconds length)
 {
+    if (length.count() == 0) {
+        return;
+    }
     std::unique_lock lock(this->mutex);
-    this->wake.wait_for(lock, this->next_pause, [this] { return this->is_stopping.load(); });
-    this->next_pause = std::min(this->next_pause * 2, this->options.longest_pause);
+    this->wake.wait_for(lock, length, [this] { return this->is_stopping.load(); });
 }
 
 } // namespace samphireway::gateway
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -24,6 +24,7 @@
     platform::object_store store;
     std::string prefix;
     std::chrono::milliseconds watch_wait{2500};
+    std::chrono::milliseconds least_interval{0};        ///< Between two batches; gathers changes.
     std::chrono::milliseconds first_pause{200};         ///< After a failed call; doubles with each in a row.
     std::chrono::milliseconds longest_pause{800};       ///< Bounds how late the end of an outage is noticed.
     std::function<void(followed_batch)> on_batch;       ///< Called on the follower's thread.
@@ -52,7 +53,7 @@
 private:
     void run();
     core::result<followed_batch> read_next();
-    void pause();
+    void pause(std::chrono::milliseconds length);
 
     const follower_options options;
     std::atomic<bool> is_stopping = false;
--- a/modules/gateway/model/member.h
+++ b/modules/gateway/model/member.h
@@ -19,6 +19,7 @@
 /** The nodes of the fleet. Immutable once published. */
 struct member_list {
     std::vector<member> members;
+    std::vector<member> drawers; ///< Those that draw from the budget ledgers. @see choose_drawers
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -1,5 +1,6 @@
 #include "gateway/process/gateway_node.h"
 
+#include "gateway/budget/drawer_choice.h"
 #include "gateway/budget/loan_client.h"
 #include "gateway/control/budget_supply.h"
 #include "gateway/control/member_tracker.h"
@@ -34,6 +35,14 @@
 constexpr milliseconds drain_check_interval{20};
 constexpr milliseconds registration_retry{500};
 constexpr milliseconds member_watch_wait{10000};
+// A service's upstreams start and leave in groups. Short against the two seconds in which a leaving one must
+// get no more requests.
+constexpr milliseconds upstream_interval{250};
+// The nodes of a large fleet start together; each change read by itself would cost every node a call.
+constexpr milliseconds member_interval{2000};
+// A node that does not draw needs its deposits and the end of its earlier grants only some time after a
+// change.
+constexpr milliseconds deposit_spread{10000};
 
 const std::string metrics_path = "/metrics";
 constexpr unsigned status_ok = 200;
@@ -115,7 +124,7 @@
     {
         return budget_supply_options{
             .node = this->options.settings.id,
-            .holder = this->options.settings.id + "." + core::random_identifier(),
+            .holder = this->holder,
             .store = this->options.store,
             .budget = this->options.settings.budget,
             .run_control = [this](std::function<void()> task) { this->control.post(std::move(task)); },
@@ -130,21 +139,32 @@
 
     loan_client_options loan_options()
     {
-        return loan_client_options{.node = this->options.settings.id, .members = [this] {
-                                       return this->board.members.read();
-                                   }};
+        return loan_client_options{
+            .node = this->options.settings.id, .borrower = this->holder, .members = [this] {
+                return this->board.members.read();
+            }};
     }
 
     budget_access_hooks budget_hooks()
     {
         return budget_access_hooks{.can_draw = [this] { return this->supply.can_draw(); },
+                                   .is_drawer = [this] { return this->is_drawer(); },
                                    .borrow =
                                        [this](const std::string& workspace, std::int64_t tokens,
-                                              std::function<void(core::result<std::int64_t>)> on_loan) {
+                                              std::function<void(core::result<loan>)> on_loan) {
                                            this->loans.borrow(workspace, tokens, std::move(on_loan));
+                                       },
+                                   .report =
+                                       [this](const due_report& report, std::function<void()> on_not_sent) {
+                                           this->loans.report(report, std::move(on_not_sent));
                                        }};
     }
 
+    bool is_drawer()
+    {
+        return gateway::is_drawer(this->board.members.read().get(), this->options.settings.id);
+    }
+
     void run_blocking(std::function<void()> task)
     {
         if (!this->workers.submit(std::move(task))) {
@@ -171,11 +191,21 @@
                 answer(this->metrics_response());
                 return;
             }
-            if (request.target != loan_path || request.method != "POST") {
+            const bool is_loan = request.target == loan_path;
+            if (request.method != "POST" || (!is_loan && request.target != loan_report_path)) {
                 answer(internal_response{.status = status_not_found});
                 return;
             }
-            this->answer_loan(request, answer);
+            const std::string* const proof = find_header(request.headers, "Authorization");
+            if (proof == nullptr || !core::equal_in_constant_time(*proof, "Bearer " + this->token)) {
+                answer(internal_response{.status = status_unauthorized});
+                return;
+            }
+            if (is_loan) {
+                this->answer_loan(request, answer);
+                return;
+            }
+            this->answer_loan_report(request, answer);
         };
     }
 
@@ -188,24 +218,32 @@
 
     void answer_loan(const request_message& request, const std::function<void(internal_response)>& answer)
     {
-        const std::string* const proof = find_header(request.headers, "Authorization");
-        if (proof == nullptr || !core::equal_in_constant_time(*proof, "Bearer " + this->token)) {
-            answer(internal_response{.status = status_unauthorized});
-            return;
-        }
         const core::result<loan_call> call = parse_loan_call(request.body);
         if (!call) {
             answer(internal_response{.status = status_bad_request, .body = call.error().message});
             return;
         }
-        this->budget.lend(
-            call->workspace, call->tokens, clock::now(),
-            [answer, call = *call](const core::result<std::int64_t>& lent) {
-                const int status = lent ? static_cast<int>(status_ok) : core::http_status(lent.error().code);
-                core::log_event(core::log_level::info, "loan",
-                                {{"workspace", call.workspace}, {"tokens", call.tokens}, {"status", status}});
-                answer(internal_response{.status = static_cast<unsigned>(status)});
-            });
+        this->budget.lend(*call, clock::now(), [answer, call = *call](const core::result<void>& lent) {
+            const int status = lent ? static_cast<int>(status_ok) : core::http_status(lent.error().code);
+            core::log_event(lent ? core::log_level::debug : core::log_level::info, "loan",
+                            {{"borrower", call.borrower},
+                             {"workspace", call.workspace},
+                             {"tokens", call.tokens},
+                             {"status", status}});
+            answer(internal_response{.status = static_cast<unsigned>(status)});
+        });
+    }
+
+    void answer_loan_report(const request_message& request,
+                            const std::function<void(internal_response)>& answer)
+    {
+        const core::result<loan_report> report = parse_loan_report(request.body);
+        if (!report) {
+            answer(internal_response{.status = status_bad_request, .body = report.error().message});
+            return;
+        }
+        this->budget.take_report(*report);
+        answer(internal_response{});
     }
 
     void register_node()
@@ -245,11 +283,21 @@
             const std::shared_ptr<const route_table> next = this->configuration.apply(received);
             if (next != nullptr) {
                 this->board.routes.publish(next);
-                this->supply.set_deposits(prepaid_amounts(next->source()));
+                this->supply.set_deposits(prepaid_amounts(next->source()), this->deposits_due());
             }
         });
     }
 
+    core::steady_time deposits_due()
+    {
+        const core::steady_time now = clock::now();
+        if (this->is_drawer()) {
+            return now;
+        }
+        return now + milliseconds(core::hash64(this->options.settings.id) %
+                                  static_cast<std::uint64_t>(deposit_spread.count()));
+    }
+
     follower_options upstream_options()
     {
         follower_options result =
@@ -259,6 +307,7 @@
                     this->board.upstreams.publish(this->upstreams.table());
                 }
             });
+        result.least_interval = upstream_interval;
         const std::function<void(const core::error&)> report = result.on_failure;
         result.on_failure = [this, report](const core::error& failure) {
             report(failure);
@@ -274,6 +323,7 @@
         });
         // Nodes come and go rarely, and a late entry only costs a loan.
         result.watch_wait = member_watch_wait;
+        result.least_interval = member_interval;
         return result;
     }
 
@@ -365,9 +415,10 @@
         if (is_quiet && !this->is_supply_draining) {
             this->is_supply_draining = true;
             this->front.close_idle();
+            this->budget.close();
             this->supply.start_drain();
         }
-        const bool is_done = is_quiet && this->supply.is_drained();
+        const bool is_done = is_quiet && this->supply.is_drained() && !this->loans.is_reporting();
         if (is_done || now >= this->exit_at) {
             core::log_event(core::log_level::info, "stopped",
                             {{"in_flight", this->counts.requests_in_flight},
@@ -389,6 +440,7 @@
         if (known != nullptr) {
             this->pool.sweep(*known, clock::now());
         }
+        this->budget.sweep(clock::now());
         this->sweep_timer.expires_after(sweep_interval);
         this->sweep_timer.async_wait([this](boost::system::error_code failure) {
             if (!failure) {
@@ -425,6 +477,7 @@
     core::event_loop control;
     core::worker_pool workers{core::worker_pool_options{.maximum_threads = 2}};
     const std::string token = core::random_identifier();
+    const std::string holder = this->options.settings.id + "." + core::random_identifier();
     budget_supply supply;
     routing::health_table health;
     traffic::retry_budget retries;
@@ -446,8 +499,9 @@
     bool is_supply_draining = false;
     upstream_tracker upstreams;          ///< Control thread only.
     configuration_tracker configuration; ///< Control thread only.
-    member_tracker members;              ///< Control thread only.
-    settings_watch settings_file;        ///< Control thread only.
+    member_tracker members{
+        static_cast<std::size_t>(this->options.settings.budget.drawers)}; ///< Control thread only.
+    settings_watch settings_file;                                         ///< Control thread only.
     object_follower configuration_follower;
     object_follower upstream_follower;
     object_follower member_follower;
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -38,6 +38,9 @@
     /** Share of what is left of a budget that all nodes hold together, in sixteenths; it shrinks further once
      * less than 0.4 of the budget is left. */
     int held_sixteenths = 8;
+    /** Largest number of nodes that draw from the ledgers; the others borrow from them. Eight nodes that
+     * settle once a second meet few conflicts. */
+    int drawers = 8;
     std::int64_t minimum_draw_tokens = 12000; ///< A smaller draw is not worth a write.
 };
 
--- a/tests/gateway/budget_access_test.cpp
+++ b/tests/gateway/budget_access_test.cpp
@@ -1,5 +1,5 @@
 #include "gateway/budget/budget_access.h"
-#include "gateway/budget/loan_client.h"
+#include "gateway/budget/loan_messages.h"
 #include "gateway/control/prepaid_deposits.h"
 #include "support/fake_object_store.h"
 
@@ -70,6 +70,37 @@
         this->nodes.at(static_cast<std::size_t>(index))->is_cut = true;
     }
 
+    /** From now on a node borrows before it draws. */
+    void set_borrower(int index)
+    {
+        this->nodes.at(static_cast<std::size_t>(index))->is_drawer = false;
+    }
+
+    /** From now on no node answers a call for a loan. */
+    void silence_lenders()
+    {
+        this->are_lenders_silent = true;
+    }
+
+    /** From now on no report of a borrower arrives. */
+    void lose_reports()
+    {
+        this->are_reports_lost = true;
+    }
+
+    /** Lets time pass; nodes report, write what is due and end loans. */
+    void pass(std::chrono::seconds time)
+    {
+        const core::steady_time end = this->now + time;
+        while (this->now < end) {
+            this->now += 500ms;
+            for (std::size_t index = 0; index < this->nodes.size(); ++index) {
+                this->nodes[index]->access.sweep(this->now);
+                this->tick(static_cast<int>(index));
+            }
+        }
+    }
+
     escrow::account account()
     {
         const auto found = this->store.peek(budget::purse::object_key(0));
@@ -92,27 +123,59 @@
               client(budget::purse::object_key(0)),
               access(this->purse,
                      {.can_draw = [this] { return !this->is_cut; },
-                      .borrow =
-                          [this, &all](const std::string& plan, std::int64_t tokens, auto on_loan) {
-                              all.borrow(*this, plan, tokens, on_loan);
-                          }})
+                      .is_drawer = [this] { return this->is_drawer; },
+                      .borrow = [this, &all](const std::string& plan, std::int64_t tokens,
+                                             auto on_loan) { all.borrow(*this, plan, tokens, on_loan); },
+                      .report = [this, &all](const gateway::due_report& report,
+                                             auto) { all.deliver(*this, report); },
+                      .time = {.now = [] { return core::wall_time(1h); },
+                               .steady =
+                                   [&all] {
+                                       return all.now;
+                                   }}}),
+              id(name)
         {
         }
 
         bool is_cut = false;
+        bool is_drawer = true;
         budget::purse purse;
         escrow::ledger_client client;
         gateway::budget_access access;
+        std::string id;
     };
 
+    void deliver(const node& borrower, const gateway::due_report& report)
+    {
+        for (const std::unique_ptr<node>& lender : this->nodes) {
+            if (lender->id == report.lender.token && !this->are_reports_lost) {
+                lender->access.take_report({.borrower = borrower.id, .uses = report.uses});
+            }
+        }
+    }
+
     void borrow(const node& borrower, const std::string& name, std::int64_t tokens,
-                const std::function<void(core::result<std::int64_t>)>& on_loan)
+                const std::function<void(core::result<gateway::loan>)>& on_loan)
     {
+        if (this->are_lenders_silent) {
+            on_loan(core::failure(core::error_code::no_upstream, "no lender answers"));
+            return;
+        }
         for (std::size_t index = 0; index < this->nodes.size(); ++index) {
             if (this->nodes[index].get() == &borrower) {
                 continue;
             }
-            this->nodes[index]->access.lend(name, tokens, this->now, on_loan);
+            const std::string lender = this->nodes[index]->id;
+            this->nodes[index]->access.lend(
+                {.borrower = borrower.id, .workspace = name, .tokens = tokens}, this->now,
+                [on_loan, lender, tokens](const core::result<void>& lent) {
+                    if (!lent) {
+                        on_loan(tl::unexpected(lent.error()));
+                        return;
+                    }
+                    on_loan(gateway::loan{.lender = {.id = lender, .address = {}, .port = 0, .token = lender},
+                                          .tokens = tokens});
+                });
             for (int step = 0; step < 2; ++step) {
                 this->now += 100ms;
                 this->tick(static_cast<int>(index));
@@ -121,6 +184,8 @@
         }
     }
 
+    bool are_lenders_silent = false;
+    bool are_reports_lost = false;
     std::vector<std::unique_ptr<node>> nodes;
 };
 
@@ -161,17 +226,84 @@
     cr_assert(is_exhausted);
 }
 
+// Guards against writers beyond those that draw, whose conflicts grow with the fleet: a node that borrows
+// leaves no entry in the ledger while a lender answers.
+Test(budget_access, borrower_does_not_draw)
+{
+    budget_nodes nodes(2, 100000);
+    nodes.set_borrower(0);
+    cr_assert(nodes.reserve(0, 5000).has_value());
+    nodes.pass(3s);
+    cr_assert_not(nodes.account().holders.contains("node-0.0"));
+    cr_assert(nodes.account().holders.contains("node-1.0"));
+}
+
+// Guards against an outage after the loss of all nodes that draw.
+Test(budget_access, borrower_without_lender_draws)
+{
+    budget_nodes nodes(2, 100000);
+    nodes.set_borrower(0);
+    nodes.silence_lenders();
+    const core::result<gateway::held_budget> held = nodes.reserve(0, 5000);
+    cr_assert(held.has_value());
+    cr_assert(held->grant.has_value());
+}
+
+// Guards against lenders that do not learn what was used, and against budget that stays with idle borrowers.
+Test(budget_access, unused_loans_are_returned)
+{
+    constexpr amount prepaid = 100000;
+    budget_nodes nodes(2, prepaid);
+    nodes.set_borrower(0);
+    const core::result<gateway::held_budget> held = nodes.reserve(0, 5000);
+    cr_assert(held.has_value());
+    nodes.access(0).settle(*held, 1200);
+    nodes.pass(5s);
+    cr_assert_eq(nodes.account().spent(), 1200);
+}
+
+// Guards against a second use of loans whose reports are lost: they count as spent.
+Test(budget_access, loans_without_a_report_are_spent)
+{
+    budget_nodes nodes(2, 100000);
+    nodes.set_borrower(0);
+    nodes.lose_reports();
+    const core::result<gateway::held_budget> held = nodes.reserve(0, 5000);
+    cr_assert(held.has_value());
+    nodes.access(0).settle(*held, 1200);
+    nodes.pass(20s);
+    cr_assert_eq(nodes.account().spent(), 0, "a loan must stay open as long as a stream may last");
+    nodes.pass(20s);
+    cr_assert_eq(nodes.account().spent(), 5000);
+}
+
+// Guards against grants that a stopping lender gives back while others still spend them.
+Test(budget_access, stopping_lender_counts_open_loans_as_spent)
+{
+    budget_nodes nodes(2, 100000);
+    nodes.set_borrower(0);
+    const core::result<gateway::held_budget> held = nodes.reserve(0, 5000);
+    cr_assert(held.has_value());
+    nodes.access(1).close();
+    nodes.access(0).settle(*held, 1200);
+    nodes.pass(3s);
+    cr_assert_eq(nodes.account().spent(), 5000);
+}
+
 // Guards against a wait for a draw that cannot come: a node without contact and without lenders refuses at
 // once.
 Test(budget_access, refusal_without_contact_is_immediate)
 {
     budget::purse purse({.holder = "alone.0"});
     gateway::budget_access alone(
-        purse, {.can_draw = [] { return false; },
-                .borrow =
-                    [](const std::string&, std::int64_t, auto on_loan) {
-                        on_loan(core::failure(core::error_code::budget_unavailable, "no lender"));
-                    }});
+        purse,
+        {.can_draw = [] { return false; },
+         .is_drawer = [] { return true; },
+         .borrow = [](const std::string&, std::int64_t,
+                      auto on_loan) { on_loan(core::failure(core::error_code::no_upstream, "no lender")); },
+         .report =
+             [](const gateway::due_report&, auto) {
+             }});
     const core::steady_time now{1h};
     std::optional<core::error_code> refusal;
     alone.reserve(workspace, 5000, now, now + 1s, [&refusal](core::result<gateway::held_budget> held) {
@@ -206,18 +338,3 @@
     cr_assert_eq(account.available(), 400);
     cr_assert_eq(gateway::close_predecessors(account, "node-1", "node-1.b", 0), 0);
 }
-
-// Guards against calls of other nodes that a lender would misread.
-Test(loan_client, malformed_calls_are_refused)
-{
-    const core::result<gateway::loan_call> call =
-        gateway::parse_loan_call(gateway::make_loan_call(workspace, 42));
-    cr_assert(call.has_value());
-    cr_assert_eq(call->workspace, workspace);
-    cr_assert_eq(call->tokens, 42);
-    for (const std::string body :
-         {"", "[]", "{\"workspace\":\"rim\"}", "{\"workspace\":\"rim\",\"tokens\":-1}",
-          "{\"workspace\":\"\",\"tokens\":5}", "{\"workspace\":\"rim\",\"tokens\":1e30}"}) {
-        cr_assert_not(gateway::parse_loan_call(body).has_value(), "%s", body.c_str());
-    }
-}
--- /dev/null
+++ b/tests/gateway/loan_test.cpp
@@ -0,0 +1,156 @@
+#include "gateway/budget/borrowed_budget.h"
+#include "gateway/budget/drawer_choice.h"
+#include "gateway/budget/loan_messages.h"
+
+#include <criterion/criterion.h>
+#include <set>
+
+namespace {
+
+using namespace samphireway;
+
+const std::string workspace = "rim";
+
+gateway::loan loan_from(const std::string& process, std::int64_t tokens)
+{
+    return {.lender = {.id = "node-1", .address = "10.0.0.1", .port = 7200, .token = process},
+            .tokens = tokens};
+}
+
+std::vector<gateway::member> make_nodes(int count)
+{
+    std::vector<gateway::member> nodes;
+    for (int index = 0; index < count; ++index) {
+        nodes.push_back({.id = "node-" + std::to_string(index), .address = {}, .port = 0, .token = {}});
+    }
+    return nodes;
+}
+
+std::set<std::string> drawer_ids(const std::vector<gateway::member>& nodes, std::size_t maximum)
+{
+    std::set<std::string> ids;
+    for (const gateway::member& drawer : gateway::choose_drawers(nodes, maximum)) {
+        ids.insert(drawer.id);
+    }
+    return ids;
+}
+
+} // namespace
+
+// Guards against nodes that disagree about who draws, and against a choice that shifts when a node joins.
+Test(drawer_choice, choice_is_the_same_everywhere_and_stable)
+{
+    std::vector<gateway::member> nodes = make_nodes(80);
+    const std::set<std::string> before = drawer_ids(nodes, 8);
+    cr_assert_eq(before.size(), 8U);
+    std::reverse(nodes.begin(), nodes.end());
+    cr_assert(drawer_ids(nodes, 8) == before);
+    nodes.push_back({.id = "joined", .address = {}, .port = 0, .token = {}});
+    int kept = 0;
+    for (const std::string& id : drawer_ids(nodes, 8)) {
+        kept += before.contains(id) ? 1 : 0;
+    }
+    cr_assert_geq(kept, 7);
+}
+
+// Guards against small fleets and freshly started nodes that wait for lenders.
+Test(drawer_choice, small_fleets_and_unknown_fleets_draw)
+{
+    gateway::member_list known{.members = make_nodes(5), .drawers = {}};
+    known.drawers = gateway::choose_drawers(known.members, 8);
+    cr_assert(gateway::is_drawer(&known, "node-4"));
+    cr_assert(gateway::is_drawer(nullptr, "node-4"));
+    const gateway::member_list large{.members = make_nodes(9),
+                                     .drawers = gateway::choose_drawers(make_nodes(9), 8)};
+    int drawers = 0;
+    for (const gateway::member& node : large.members) {
+        drawers += gateway::is_drawer(&large, node.id) ? 1 : 0;
+    }
+    cr_assert_eq(drawers, 8);
+}
+
+// Guards against returns that are credited to a later process of the lender, which knows nothing of the loan.
+Test(borrowed_budget, reports_name_the_process_that_lent)
+{
+    gateway::borrowed_budget borrowed;
+    borrowed.add(workspace, loan_from("first", 100));
+    borrowed.add(workspace, loan_from("second", 50));
+    const std::optional<std::string> taken = borrowed.take(workspace, 80);
+    cr_assert(taken == "first");
+    borrowed.settle(workspace, *taken, 80, 30);
+    std::map<std::string, gateway::loan_use> uses;
+    for (const gateway::due_report& report : borrowed.take_reports(true)) {
+        cr_assert_eq(report.uses.size(), 1U);
+        uses[report.lender.token] = report.uses.front();
+    }
+    cr_assert_eq(uses.at("first").used, 30);
+    cr_assert_eq(uses.at("first").returned, 70);
+    cr_assert_eq(uses.at("second").returned, 50);
+    cr_assert(borrowed.take_reports(true).empty());
+}
+
+// Guards against a call for every request where the rest of the last loan would do, and against budget that
+// stays with an idle borrower.
+Test(borrowed_budget, rest_is_kept_for_one_interval)
+{
+    gateway::borrowed_budget borrowed;
+    borrowed.add(workspace, loan_from("lender", 100));
+    const std::optional<std::string> taken = borrowed.take(workspace, 100);
+    borrowed.settle(workspace, *taken, 100, 40);
+    const std::vector<gateway::due_report> first = borrowed.take_reports(false);
+    cr_assert_eq(first.size(), 1U);
+    cr_assert_eq(first.front().uses.front().used, 40);
+    cr_assert_eq(first.front().uses.front().returned, 0);
+    const std::vector<gateway::due_report> second = borrowed.take_reports(false);
+    cr_assert_eq(second.size(), 1U);
+    cr_assert_eq(second.front().uses.front().returned, 60);
+    cr_assert_not(borrowed.take(workspace, 1).has_value());
+}
+
+// Guards against budget lost with a report that never left this node.
+Test(borrowed_budget, unsent_report_is_taken_back)
+{
+    gateway::borrowed_budget borrowed;
+    borrowed.add(workspace, loan_from("lender", 100));
+    const std::vector<gateway::due_report> due = borrowed.take_reports(true);
+    cr_assert_eq(due.size(), 1U);
+    cr_assert_not(borrowed.take(workspace, 1).has_value());
+    borrowed.restore(due.front());
+    cr_assert(borrowed.take(workspace, 100).has_value());
+}
+
+// Guards against calls of other nodes that a lender would misread.
+Test(loan_messages, malformed_calls_are_refused)
+{
+    const core::result<gateway::loan_call> call = gateway::parse_loan_call(
+        gateway::make_loan_call({.borrower = "node-1.a", .workspace = workspace, .tokens = 42}));
+    cr_assert(call.has_value());
+    cr_assert_eq(call->borrower, "node-1.a");
+    cr_assert_eq(call->workspace, workspace);
+    cr_assert_eq(call->tokens, 42);
+    for (const std::string body :
+         {"", "[]", R"({"workspace":"rim","tokens":5})", R"({"borrower":"n","workspace":"rim"})",
+          R"({"borrower":"n","workspace":"rim","tokens":-1})",
+          R"({"borrower":"n","workspace":"","tokens":5})",
+          R"({"borrower":"n","workspace":"rim","tokens":1e30})"}) {
+        cr_assert_not(gateway::parse_loan_call(body).has_value(), "%s", body.c_str());
+    }
+}
+
+// Guards against reports that return budget which was never lent.
+Test(loan_messages, malformed_reports_are_refused)
+{
+    const core::result<gateway::loan_report> report = gateway::parse_loan_report(gateway::make_loan_report(
+        {.borrower = "node-1.a", .uses = {{.workspace = workspace, .used = 3, .returned = 4}}}));
+    cr_assert(report.has_value());
+    cr_assert_eq(report->uses.size(), 1U);
+    cr_assert_eq(report->uses.front().used, 3);
+    cr_assert_eq(report->uses.front().returned, 4);
+    for (const std::string body :
+         {"", "{}", R"({"uses":[]})", R"({"borrower":"n","uses":{}})", R"({"borrower":"n","uses":[1]})",
+          R"({"borrower":"n","uses":[{"workspace":"rim","used":-1,"returned":0}]})",
+          R"({"borrower":"n","uses":[{"workspace":"rim","used":0,"returned":-5}]})",
+          R"({"borrower":"n","uses":[{"workspace":"","used":0,"returned":5}]})"}) {
+        cr_assert_not(gateway::parse_loan_report(body).has_value(), "%s", body.c_str());
+    }
+}
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -194,9 +194,11 @@
     implementation()
         : purse({.holder = "node.0", .draw = {.horizon = std::chrono::seconds(10)}}),
           budget(this->purse, {.can_draw = [] { return true; },
-                               .borrow =
-                                   [](const std::string&, std::int64_t, auto on_loan) {
-                                       on_loan(tl::unexpected(core::error{}));
+                               .is_drawer = [] { return true; },
+                               .borrow = [](const std::string&, std::int64_t,
+                                            auto on_loan) { on_loan(tl::unexpected(core::error{})); },
+                               .report =
+                                   [](const gateway::due_report&, auto) {
                                    }}),
           context{.io = this->io,
                   .availability_zone = this->zone,
--- a/tests/gateway/upstream_tracker_test.cpp
+++ b/tests/gateway/upstream_tracker_test.cpp
@@ -130,7 +130,7 @@
     second.token = "new";
     cr_assert(gateway::store_member(store.hooks(), first).has_value());
     cr_assert(gateway::store_member(store.hooks(), second).has_value());
-    gateway::member_tracker tracker;
+    gateway::member_tracker tracker(8);
     const auto list =
         tracker.apply({.batch = *store.hooks().list(gateway::members_prefix), .is_full_list = true});
     cr_assert_eq(list->members.size(), 1U);
