Count open reservations as demand and draw ahead for waiting requests

Cause: demand was measured from settled use, which a stream reports only at its end, seconds after its first request. Until then a node drew little more than the waiting requests lacked, so the first seconds needed a write of the ledger for nearly every request, and the grants before an early cut from the store were too small.

Ruled out: a larger minimum draw (it also sets where a plan's tail begins, and small workspaces would stay in it).

--- a/modules/budget/policy/draw_policy.cpp
+++ b/modules/budget/policy/draw_policy.cpp
@@ -52,6 +52,13 @@
     return std::min(share, std::max(options.minimum_draw, input.demand_per_second * horizon.count()));
 }
 
+/** Parts into which what is available is divided for draws ahead: each holder's is small. */
+amount holders_of_ahead(const draw_input& input)
+{
+    constexpr amount parts_per_holder = 4;
+    return parts_per_holder * static_cast<amount>(std::max<std::size_t>(1, input.holders));
+}
+
 draw_decision decide_waiting(const draw_options& options, const draw_input& input)
 {
     const amount available = std::max<amount>(0, input.available);
@@ -67,7 +74,9 @@
     }
     // The part beyond the waiting requests leaves at least half of the rest to others.
     const amount beyond = std::min(target_of(options, input) - input.free - lack, (available - lack) / 2);
-    return draw_decision{.draw = lack + std::max<amount>(0, beyond), .is_urgent = true};
+    // Requests that wait show more of the same to come before the demand is known.
+    const amount ahead = std::min(options.drawn_ahead * lack, (available - lack) / holders_of_ahead(input));
+    return draw_decision{.draw = lack + std::max<amount>({0, beyond, ahead}), .is_urgent = true};
 }
 
 } // namespace
--- a/modules/budget/policy/draw_policy.h
+++ b/modules/budget/policy/draw_policy.h
@@ -29,6 +29,9 @@
      * a new plan do not take the parts of those that follow. */
     int horizon_growth = 10;
 
+    /** Multiple of what waiting requests lack that is drawn along with it, while much is available. */
+    escrow::amount drawn_ahead = 0;
+
     escrow::amount minimum_draw = 2000; ///< Tokens; a smaller draw is not worth a write.
 
     /** Sixteenths of the unspent total that holders take in proportion to their use; the rest stays available
--- a/modules/budget/purse/plan_account.cpp
+++ b/modules/budget/purse/plan_account.cpp
@@ -83,7 +83,9 @@
 
 void plan_account::update_demand(core::steady_time now)
 {
-    const escrow::amount spent = this->holder.spent();
+    // Open reservations count, at their most, so that the first requests of a plan show its demand before they
+    // end.
+    const escrow::amount spent = this->holder.spent() + this->holder.reserved();
     if (this->demand_since == core::steady_time{}) {
         this->demand_since = now;
         this->demand_updated = now;
@@ -96,12 +98,12 @@
     }
     const double seconds = std::chrono::duration<double>(elapsed).count();
     const double age = std::chrono::duration<double>(now - this->demand_since).count();
-    const double rate =
-        static_cast<double>(std::max<escrow::amount>(0, spent - this->spent_at_update)) / seconds;
+    const double rate = static_cast<double>(spent - this->spent_at_update) / seconds;
     // In the first seconds the average counts, later the smoothed recent rate.
     const auto smoothing = static_cast<double>(this->options.demand_smoothing.count());
     const double weight = std::max(1 - std::exp(-seconds / smoothing), seconds / age);
     this->demand_per_second += (rate - this->demand_per_second) * std::min(1.0, weight);
+    this->demand_per_second = std::max(0.0, this->demand_per_second);
     this->demand_updated = now;
     this->spent_at_update = spent;
     if (this->demand_per_second < 0.5 && now - this->last_request >= idle_after) {
