Judge requests that are slow in first token and gap alike

Cause: a version that takes 2.5 times as long for 30% of its requests was stopped 237 s after its thirtieth faulty outcome (bound 2 s). First token and gap were judged apart, each by the part of requests above a limit. A sound version has so many requests above either limit that about 300 requests of the new version were needed, 200 s of a canary.

Ruled out: finer buckets (at a tolerated factor of 1.41 no limit of one signal gives more than 0.09 nats a request); a lower threshold (it would take back sound versions); suspension on suspicion (without traffic the suspicion is never settled).

Change: each request's slowdown is the smaller of first token and gap against the old version's mean on the route. Its histogram is judged over all traffic, at limits of 1.41, 2 and 2.83, with a tenth of the move's error rate.

--- a/modules/moves/evidence/evidence_table.cpp
+++ b/modules/moves/evidence/evidence_table.cpp
@@ -10,6 +10,10 @@
 /// lower strictness, so that trouble which strikes both versions takes no version back.
 constexpr double concurrent_error_rate = 0.05;
 
+/// The old version's mean on a route is a measure for others after this many requests: its relative error is
+/// then a tenth for latencies that spread by half their mean.
+constexpr std::uint64_t requests_of_mean = 25;
+
 constexpr std::size_t maximum_senders = 4096;
 constexpr std::uint32_t quiet_requests = 8; ///< A route with fewer in `room_interval` makes room.
 constexpr std::chrono::seconds room_interval{128};
@@ -26,6 +30,16 @@
     return is_confirmed ? found : std::nullopt;
 }
 
+/** Judges all traffic together, where the evidence gathers first. */
+std::optional<finding> judge_whole(const route_evidence& evidence, const judgement_limits& limits)
+{
+    std::optional<finding> found =
+        judge_slowdown(evidence.old_baseline, evidence.step.new_version, limits.slowdown_error_rate);
+    const bool is_confirmed =
+        found && judge_slowdown(evidence.step.old_version, evidence.step.new_version, concurrent_error_rate);
+    return is_confirmed ? found : std::nullopt;
+}
+
 void merge_pair(version_pair& target, const version_pair& part)
 {
     target.old_version.merge(part.old_version);
@@ -109,10 +123,38 @@
     merge_pair(evidence.step, part);
 }
 
+double evidence_table::measure_slowdown(const sample& observed, bool is_new_version, core::wall_time now)
+{
+    if (observed.first_token.count() <= 0 || observed.mean_gap.count() <= 0) {
+        return 0;
+    }
+    tracked_route* route = this->find_or_add(plan_route(observed.workspace, observed.plan), now);
+    if (route == nullptr) {
+        return 0;
+    }
+    old_latencies& old = route->old;
+    double slowdown = 0;
+    if (old.requests >= requests_of_mean) {
+        const auto ratio = [&old](std::chrono::microseconds latency, std::chrono::microseconds sum) {
+            return static_cast<double>(latency.count()) * static_cast<double>(old.requests) /
+                   static_cast<double>(sum.count());
+        };
+        slowdown = std::min(ratio(observed.first_token, old.first_token), ratio(observed.mean_gap, old.gap));
+    }
+    if (!is_new_version) {
+        ++old.requests;
+        old.first_token += observed.first_token;
+        old.gap += observed.mean_gap;
+    }
+    return slowdown;
+}
+
 void evidence_table::add(const sample& observed, bool is_new_version, core::wall_time now)
 {
+    sample measured = observed;
+    measured.slowdown = this->measure_slowdown(observed, is_new_version, now);
     version_pair part;
-    (is_new_version ? part.new_version : part.old_version).add(observed);
+    (is_new_version ? part.new_version : part.old_version).add(measured);
     const std::array keys{std::string(all_routes), workspace_route(observed.workspace),
                           plan_route(observed.workspace, observed.plan)};
     for (const std::string& key : keys) {
@@ -185,6 +227,9 @@
         }
         tracked.is_changed = false;
         std::optional<finding> found = judge_route(tracked.evidence, limits);
+        if (!found && route == all_routes) {
+            found = judge_whole(tracked.evidence, limits);
+        }
         if (found && (!fault || order(*found) > order(fault->found))) {
             fault = route_fault{.route = route, .found = std::move(*found)};
         }
--- a/modules/moves/evidence/evidence_table.h
+++ b/modules/moves/evidence/evidence_table.h
@@ -28,6 +28,7 @@
 
 /** Error rates of the judgement of one route. @see evidence_table::find_fault */
 struct judgement_limits {
+    double slowdown_error_rate = 0; ///< Of each single comparison of slowdowns over a step.
     double step_error_rate = 0;     ///< Of each single comparison over a step.
     double detection_threshold = 0; ///< Of the detectors.
 };
@@ -58,7 +59,7 @@
 /**
     Evidence of one move at one node: its own outcomes and those that other nodes report.
 
-    Memory is bounded: at most `maximum_routes` routes are told apart (1.2 KB each). Outcomes of further
+    Memory is bounded: at most `maximum_routes` routes are told apart (1.6 KB each). Outcomes of further
    routes count for the whole. Routes with little traffic make room every two minutes.
 
     @see decide
@@ -98,12 +99,20 @@
     std::size_t size() const noexcept;
 
 private:
+    /** Latencies of the old version at this node. */
+    struct old_latencies {
+        std::uint64_t requests = 0;
+        std::chrono::microseconds first_token{0}; ///< Sum.
+        std::chrono::microseconds gap{0};         ///< Sum.
+    };
     struct tracked_route {
         route_evidence evidence;
+        old_latencies old;
         bool is_changed = false;
     };
 
     tracked_route* find_or_add(const std::string& route, core::wall_time now);
+    double measure_slowdown(const sample& observed, bool is_new_version, core::wall_time now);
     void make_room(core::wall_time now);
     void add_to(const std::string& route, const version_pair& part, core::wall_time now);
 
--- a/modules/moves/evidence/sequential_test.h
+++ b/modules/moves/evidence/sequential_test.h
@@ -59,6 +59,20 @@
 */
 std::optional<finding> judge(const summary& old_version, const summary& new_version, double error_rate);
 
+/**
+    Compares how many requests were slow in first token and gap alike; returns a finding when the new version
+    has more of them.
+
+    A version that is slow for a part of its requests shows here first: few requests of a sound version are
+   slow in both. Slow is a limit of 1.41, 2 or 2.83 times the old version's mean; as in `judge`, the new
+   version is held to the next higher limit.
+*/
+std::optional<finding> judge_slowdown(const summary& old_version, const summary& new_version,
+                                      double error_rate);
+
+/** Number of tests that one call of `judge_slowdown` may make. */
+inline constexpr std::size_t tests_per_slowdown = 2 * 3;
+
 /** Number of tests that one call of `judge` may make; for splitting an error rate. */
 inline constexpr std::size_t tests_per_comparison = 2 + 2 * (histogram::buckets - 2);
 
--- a/modules/moves/evidence/summary.cpp
+++ b/modules/moves/evidence/summary.cpp
@@ -89,6 +89,10 @@
     if (observed.mean_gap.count() > 0) {
         this->gap.add(observed.mean_gap);
     }
+    if (observed.slowdown > 0) {
+        const double scaled = observed.slowdown * static_cast<double>(slowdown_unit.count());
+        this->slowdown.add(std::chrono::microseconds(std::llround(scaled)));
+    }
 }
 
 void summary::merge(const summary& other) noexcept
@@ -98,6 +102,7 @@
     this->empty_answers += other.empty_answers;
     this->first_token.merge(other.first_token);
     this->gap.merge(other.gap);
+    this->slowdown.merge(other.slowdown);
 }
 
 Json::Value to_json(const summary& value)
@@ -108,6 +113,7 @@
     json["empty"] = value.empty_answers;
     json["first_token"] = histogram_json(value.first_token);
     json["gap"] = histogram_json(value.gap);
+    json["slowdown"] = histogram_json(value.slowdown);
     return json;
 }
 
@@ -122,6 +128,7 @@
     value.empty_answers = count_member(json, "empty");
     value.first_token = histogram_from_json(json["first_token"]);
     value.gap = histogram_from_json(json["gap"]);
+    value.slowdown = histogram_from_json(json["slowdown"]);
     return value;
 }
 
--- a/modules/moves/evidence/summary.h
+++ b/modules/moves/evidence/summary.h
@@ -20,6 +20,9 @@
     bool is_empty = false;                    ///< Succeeded without any output token.
     std::chrono::microseconds first_token{0}; ///< Zero when there was none.
     std::chrono::microseconds mean_gap{0}; ///< Mean time between tokens; zero when there were fewer than two.
+    /** How many times as long as the old version's mean on the route the request took, by the smaller of
+     * first token and gap; zero when that is not known. Filled in by `evidence_table`. */
+    double slowdown = 0;
 };
 
 /**
@@ -41,6 +44,10 @@
     std::uint64_t count_from(std::size_t first) const noexcept;
 };
 
+/** The latency that stands for a slowdown of one; a power of two, so that buckets end at powers of the square
+ * root of two. @see summary */
+inline constexpr std::chrono::microseconds slowdown_unit{16000};
+
 /**
     What is known of one version on one route in a span of time. Mergeable by addition and of fixed size.
 
@@ -52,6 +59,7 @@
     std::uint32_t empty_answers = 0;
     histogram first_token;
     histogram gap;
+    histogram slowdown; ///< A ratio of one is counted as `slowdown_unit`.
 
     /** Counts one sample. */
     void add(const sample& observed) noexcept;
--- a/modules/moves/policy/decide.cpp
+++ b/modules/moves/policy/decide.cpp
@@ -9,6 +9,10 @@
 /// Each outcome counts for its route, its workspace and the whole, so this covers three million requests.
 constexpr double outcomes_per_move = 1e7;
 
+/// Part of the error rate for the slowdowns of all traffic. It is shared by few comparisons, so a small part
+/// is enough for a fast judgement.
+constexpr double slowdown_part = 0.1;
+
 bool is_set(core::wall_time time)
 {
     return time != core::wall_time{};
@@ -167,10 +171,13 @@
 
 judgement_limits limits_of_judgement(const ramp_limits& limits)
 {
-    const double half = limits.error_rate / 2;
+    const double whole = limits.error_rate * slowdown_part;
+    const double half = (limits.error_rate - whole) / 2;
     const auto routes = static_cast<double>(evidence_table::maximum_routes);
     const auto comparisons = static_cast<double>(ramp_steps.size() * tests_per_comparison);
-    return judgement_limits{.step_error_rate = half / (2 * routes * comparisons),
+    const auto slowdowns = static_cast<double>(ramp_steps.size() * tests_per_slowdown);
+    return judgement_limits{.slowdown_error_rate = whole / slowdowns,
+                            .step_error_rate = half / (2 * routes * comparisons),
                             .detection_threshold = detection_threshold(half, outcomes_per_move)};
 }
 
--- a/modules/moves/policy/decide.h
+++ b/modules/moves/policy/decide.h
@@ -55,9 +55,9 @@
 version_shares shares_of(const configuration::move_entry& move, const progress& record);
 
 /**
-    Splits a move's false-positive rate over its judgements: half for the comparisons over steps, half for the
-    detectors. It holds for up to three million requests of the new version; a longer move has a rate higher
-   in proportion.
+    Splits a move's false-positive rate over its judgements: a tenth for the slowdowns of all traffic, half of
+   the rest for the comparisons over steps and half for the detectors. It holds for up to three million
+   requests of the new version; a longer move has a rate higher in proportion.
 */
 judgement_limits limits_of_judgement(const ramp_limits& limits);
 
