--- a/tests/moves/evidence_test.cpp
+++ b/tests/moves/evidence_test.cpp
@@ -89,6 +89,42 @@
     cr_assert_eq(fault->found.signal, "errors");
 }
 
+// Guards against a version that is slow for a part of its requests and is noticed only after hundreds of
+// them, and against taking back one that is slightly slower throughout.
+Test(evidence, requests_slow_in_first_token_and_gap_are_found_early)
+{
+    const moves::judgement_limits limits = moves::limits_of_judgement({});
+    std::mt19937_64 random(11);
+    std::lognormal_distribution<double> spread(0, 0.3);
+    const auto sample = [&](double factor) {
+        moves::sample made = good_sample("w");
+        made.first_token = std::chrono::microseconds(std::llround(200'000 * factor * spread(random)));
+        made.mean_gap = std::chrono::microseconds(std::llround(20'000 * factor * spread(random)));
+        return made;
+    };
+    moves::evidence_table partly_slow;
+    moves::evidence_table slightly_slow;
+    for (int request = 0; request < 5000; ++request) {
+        partly_slow.add(sample(1), false, start);
+        slightly_slow.add(sample(1), false, start);
+    }
+    std::bernoulli_distribution is_slow(0.3);
+    int faults = 0;
+    std::optional<moves::route_fault> fault;
+    while (!fault && faults < 30) {
+        const bool is_faulty = is_slow(random);
+        faults += is_faulty ? 1 : 0;
+        partly_slow.add(sample(is_faulty ? 2.5 : 1), true, start);
+        fault = partly_slow.find_fault(limits);
+    }
+    cr_assert(fault.has_value(), "not found within 30 slow requests");
+    cr_assert_eq(fault->found.signal, "slowdown");
+    for (int request = 0; request < 5000; ++request) {
+        slightly_slow.add(sample(1.15), true, start);
+    }
+    cr_assert_not(slightly_slow.find_fault(limits).has_value());
+}
+
 // Guards against taking a version back for trouble that strikes both versions alike.
 Test(evidence, trouble_of_both_versions_is_no_finding)
 {
