--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -35,9 +35,11 @@
 constexpr milliseconds drain_check_interval{20};
 constexpr milliseconds registration_retry{500};
 constexpr milliseconds member_watch_wait{10000};
-// A service's upstreams start and leave in groups. Short against the two seconds in which a leaving one must
-// get no more requests.
-constexpr milliseconds upstream_interval{250};
+// A service's upstreams start and leave in groups, and each change wakes every node. Half of the two seconds
+// from which a leaving upstream must get no more requests.
+constexpr milliseconds upstream_interval{1000};
+// Configurations come in quick succession. A quarter of the two seconds in which one must be in force.
+constexpr milliseconds configuration_interval{500};
 // The nodes of a large fleet start together; each change read by itself would cost every node a call.
 constexpr milliseconds member_interval{2000};
 // A node that does not draw needs its deposits and the end of its earlier grants only some time after a
@@ -279,13 +281,15 @@
     {
         const std::string prefix =
             this->options.configuration_key.substr(0, this->options.configuration_key.find('/') + 1);
-        return this->follow(prefix, [this](const followed_batch& received) {
+        follower_options result = this->follow(prefix, [this](const followed_batch& received) {
             const std::shared_ptr<const route_table> next = this->configuration.apply(received);
             if (next != nullptr) {
                 this->board.routes.publish(next);
                 this->supply.set_deposits(prepaid_amounts(next->source()), this->deposits_due());
             }
         });
+        result.least_interval = configuration_interval;
+        return result;
     }
 
     core::steady_time deposits_due()
--- a/modules/moves/evidence/sequential_test.h
+++ b/modules/moves/evidence/sequential_test.h
@@ -71,7 +71,7 @@
                                       double error_rate);
 
 /** Number of tests that one call of `judge_slowdown` may make. */
-inline constexpr std::size_t tests_per_slowdown = 2 * 3;
+inline constexpr std::size_t tests_per_slowdown = std::size_t{2} * 3;
 
 /** Number of tests that one call of `judge` may make; for splitting an error rate. */
 inline constexpr std::size_t tests_per_comparison = 2 + 2 * (histogram::buckets - 2);
--- a/tests/budget/draw_policy_test.cpp
+++ b/tests/budget/draw_policy_test.cpp
@@ -50,3 +50,15 @@
         cr_assert_eq(drawn(unspent, true), demand * 10, "%ld left", static_cast<long>(unspent));
     }
 }
+
+// Guards against a write of the ledger for nearly every request before the demand is known, and against draws
+// ahead that take what other holders need of a nearly spent budget.
+Test(draw_policy, waiting_requests_draw_ahead_while_much_is_available)
+{
+    const budget::draw_options options{.drawn_ahead = 4, .minimum_draw = 1};
+    budget::draw_input input{
+        .waiting = 1'000, .smallest_waiting = 1'000, .available = limit, .holders = 10, .limit = limit};
+    cr_assert_eq(budget::decide_draw(options, input).draw, 5'000);
+    input.available = 41'000;
+    cr_assert_eq(budget::decide_draw(options, input).draw, 2'000);
+}
--- a/tests/gateway/budget_access_test.cpp
+++ b/tests/gateway/budget_access_test.cpp
@@ -290,6 +290,18 @@
     cr_assert_eq(nodes.account().spent(), 5000);
 }
 
+// Guards against grants that are sized for no demand until the first streams end, seconds after they begin.
+Test(budget_access, open_reservations_show_demand)
+{
+    budget_nodes nodes(1, 1000000);
+    const core::result<gateway::held_budget> first = nodes.reserve(0, 5000);
+    nodes.pass(1s);
+    const core::result<gateway::held_budget> second = nodes.reserve(0, 5000);
+    cr_assert(first.has_value() && second.has_value());
+    nodes.pass(2s);
+    cr_assert_gt(nodes.account().holders.at("node-0.0").demand_per_second, 0);
+}
+
 // Guards against a wait for a draw that cannot come: a node without contact and without lenders refuses at
 // once.
 Test(budget_access, refusal_without_contact_is_immediate)
