--- a/modules/budget/purse/plan_account.cpp
+++ b/modules/budget/purse/plan_account.cpp
@@ -83,8 +83,8 @@
 
 void plan_account::update_demand(core::steady_time now)
 {
-    // Open reservations count, at their most, so that the first requests of a plan show its demand before they
-    // end.
+    // Open reservations count, at their most, so that the first requests of a plan show its demand before
+    // they end.
     const escrow::amount spent = this->holder.spent() + this->holder.reserved();
     if (this->demand_since == core::steady_time{}) {
         this->demand_since = now;
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -17,8 +17,8 @@
 constexpr std::chrono::seconds kept_when_others_lack{2};
 // In a large fleet a node that draws does so for ten; the object API allows far more than this doubling.
 constexpr std::uint32_t ledgers_drawn_for = 4;
-// A draw and the conflicts of the first moments take a tenth of a second; four times the waiting requests last
-// until the next one.
+// A draw and the conflicts of the first moments take a tenth of a second; four times the waiting requests
+// last until the next one.
 constexpr std::int64_t drawn_ahead = 4;
 // What was used since the last settlement counts as lost when the node loses power.
 constexpr milliseconds settle_interval{1000};
