Count open reservations as demand only where draws run ahead

The serving program shares the account with the gateway.

Change: a purse counts open reservations only with drawn_ahead, which the gateway sets.

The trace's case, a request larger than any holder's part near a plan's end, was not tried with the gateway's options.

--- a/modules/budget/purse/plan_account.cpp
+++ b/modules/budget/purse/plan_account.cpp
@@ -83,9 +83,11 @@
 
 void plan_account::update_demand(core::steady_time now)
 {
-    // Open reservations count, at their most, so that the first requests of a plan show its demand before
-    // they end.
-    const escrow::amount spent = this->holder.spent() + this->holder.reserved();
+    // A node that draws ahead also counts open reservations, at their most: the first requests of a plan then
+    // show its demand before they end.
+    const bool counts_reservations = this->options.drawn_ahead > 0;
+    const escrow::amount spent =
+        this->holder.spent() + (counts_reservations ? this->holder.reserved() : escrow::amount{0});
     if (this->demand_since == core::steady_time{}) {
         this->demand_since = now;
         this->demand_updated = now;
@@ -98,7 +100,9 @@
     }
     const double seconds = std::chrono::duration<double>(elapsed).count();
     const double age = std::chrono::duration<double>(now - this->demand_since).count();
-    const double rate = static_cast<double>(spent - this->spent_at_update) / seconds;
+    const escrow::amount change = spent - this->spent_at_update;
+    const escrow::amount counted = counts_reservations ? change : std::max<escrow::amount>(0, change);
+    const double rate = static_cast<double>(counted) / seconds;
     // In the first seconds the average counts, later the smoothed recent rate.
     const auto smoothing = static_cast<double>(this->options.demand_smoothing.count());
     const double weight = std::max(1 - std::exp(-seconds / smoothing), seconds / age);
