Split the exchange and the gateway node, and name the nodes that write ledgers

Change: request_resolution, upstream_choice and response_use come out of the exchange, internal_calls and fleet_view out of the node. gateway_context owns what exchanges share, so both users name only what differs. Nodes that draw are called ledger writers (setting budget.ledger_writers). Counting open reservations is an option of its own instead of following from drawn_ahead, and limits of calls are scaled instead of pretending four ledgers.

Ruled out: removing fields of the configuration that are decoded and not used yet; taking the shape of the gateway's and the node's settings together, since their keys differ.

Measured: the tests of the split parts pass; with counts_reservations off, open_reservations_show_demand fails as it should.

--- a/modules/budget/policy/draw_policy.cpp
+++ b/modules/budget/policy/draw_policy.cpp
@@ -53,7 +53,7 @@
 }
 
 /** Parts into which what is available is divided for draws ahead: each holder's is small. */
-amount holders_of_ahead(const draw_input& input)
+amount parts_for_draws_ahead(const draw_input& input)
 {
     constexpr amount parts_per_holder = 4;
     return parts_per_holder * static_cast<amount>(std::max<std::size_t>(1, input.holders));
@@ -75,7 +75,8 @@
     // The part beyond the waiting requests leaves at least half of the rest to others.
     const amount beyond = std::min(target_of(options, input) - input.free - lack, (available - lack) / 2);
     // Requests that wait show more of the same to come before the demand is known.
-    const amount ahead = std::min(options.drawn_ahead * lack, (available - lack) / holders_of_ahead(input));
+    const amount ahead =
+        std::min(options.drawn_ahead * lack, (available - lack) / parts_for_draws_ahead(input));
     return draw_decision{.draw = lack + std::max<amount>({0, beyond, ahead}), .is_urgent = true};
 }
 
--- a/modules/budget/policy/draw_policy.h
+++ b/modules/budget/policy/draw_policy.h
@@ -32,6 +32,10 @@
     /** Multiple of what waiting requests lack that is drawn along with it, while much is available. */
     escrow::amount drawn_ahead = 0;
 
+    /** Whether open reservations count as demand, at their most, so that the first requests of a plan show it
+     * before they end. Holders then keep more of a small plan. */
+    bool counts_reservations = false;
+
     escrow::amount minimum_draw = 2000; ///< Tokens; a smaller draw is not worth a write.
 
     /** Sixteenths of the unspent total that holders take in proportion to their use; the rest stays available
--- a/modules/budget/purse/call_budget.h
+++ b/modules/budget/purse/call_budget.h
@@ -14,6 +14,15 @@
     double kept_for_waiting = 20;  ///< Part of the burst that only waiting requests may use.
 };
 
+/** Returns limits that are higher by a factor. */
+inline call_budget_options scale(call_budget_options limits, double factor)
+{
+    limits.calls_per_second *= factor;
+    limits.burst *= factor;
+    limits.kept_for_waiting *= factor;
+    return limits;
+}
+
 /**
     Returns the limits for a deployment of a number of ledgers.
 
@@ -23,12 +32,7 @@
 inline call_budget_options call_limits_for(std::uint32_t ledgers)
 {
     constexpr double ledgers_of_defaults = 2;
-    call_budget_options limits;
-    const double factor = std::max(1.0, static_cast<double>(ledgers) / ledgers_of_defaults);
-    limits.calls_per_second *= factor;
-    limits.burst *= factor;
-    limits.kept_for_waiting *= factor;
-    return limits;
+    return scale({}, std::max(1.0, static_cast<double>(ledgers) / ledgers_of_defaults));
 }
 
 /**
--- a/modules/budget/purse/plan_account.cpp
+++ b/modules/budget/purse/plan_account.cpp
@@ -83,11 +83,9 @@
 
 void plan_account::update_demand(core::steady_time now)
 {
-    // A node that draws ahead also counts open reservations, at their most: the first requests of a plan then
-    // show its demand before they end.
-    const bool counts_reservations = this->options.drawn_ahead > 0;
     const escrow::amount spent =
-        this->holder.spent() + (counts_reservations ? this->holder.reserved() : escrow::amount{0});
+        this->holder.spent() +
+        (this->options.counts_reservations ? this->holder.reserved() : escrow::amount{0});
     if (this->demand_since == core::steady_time{}) {
         this->demand_since = now;
         this->demand_updated = now;
@@ -101,7 +99,8 @@
     const double seconds = std::chrono::duration<double>(elapsed).count();
     const double age = std::chrono::duration<double>(now - this->demand_since).count();
     const escrow::amount change = spent - this->spent_at_update;
-    const escrow::amount counted = counts_reservations ? change : std::max<escrow::amount>(0, change);
+    const escrow::amount counted =
+        this->options.counts_reservations ? change : std::max<escrow::amount>(0, change);
     const double rate = static_cast<double>(counted) / seconds;
     // In the first seconds the average counts, later the smoothed recent rate.
     const auto smoothing = static_cast<double>(this->options.demand_smoothing.count());
--- a/modules/gateway/budget/budget_access.cpp
+++ b/modules/gateway/budget/budget_access.cpp
@@ -41,7 +41,7 @@
         on_outcome(std::move(*held));
         return;
     }
-    if (this->hooks.is_drawer() && this->hooks.can_draw()) {
+    if (this->hooks.is_ledger_writer() && this->hooks.can_draw()) {
         this->await_draw(workspace, tokens, now, deadline, on_outcome);
         return;
     }
@@ -79,7 +79,7 @@
     }
     // After the loss of all nodes that draw, any node draws for itself.
     const bool has_no_lender = received.error().code == core::error_code::no_upstream;
-    if (has_no_lender && !this->hooks.is_drawer() && this->hooks.can_draw()) {
+    if (has_no_lender && !this->hooks.is_ledger_writer() && this->hooks.can_draw()) {
         this->await_draw(workspace, tokens, this->hooks.time.steady(), deadline, on_outcome);
         return;
     }
--- a/modules/gateway/budget/budget_access.h
+++ b/modules/gateway/budget/budget_access.h
@@ -26,8 +26,8 @@
     /** Whether a draw from the ledger can be expected soon. */
     std::function<bool()> can_draw;
 
-    /** Whether this node is one of those that draw; the others borrow first. @see choose_drawers */
-    std::function<bool()> is_drawer;
+    /** Whether this node is one of those that draw; the others borrow first. @see choose_ledger_writers */
+    std::function<bool()> is_ledger_writer;
 
     /** Asks other nodes for tokens; the handler gets what one of them lent. Fails with `budget_exhausted`
      * when a node knows that the workspace cannot pay, `budget_unavailable` when all are short, and
--- a/modules/gateway/budget/drawer_choice.h
+++ b/modules/gateway/budget/ledger_writers.h
@@ -16,9 +16,9 @@
 
     @see loan_client
 */
-std::vector<member> choose_drawers(const std::vector<member>& nodes, std::size_t maximum);
+std::vector<member> choose_ledger_writers(const std::vector<member>& nodes, std::size_t maximum);
 
 /** Returns whether a node draws itself. One that does not know the fleet yet does. */
-bool is_drawer(const member_list* known, const std::string& node);
+bool is_ledger_writer(const member_list* known, const std::string& node);
 
 } // namespace samphireway::gateway
--- a/modules/gateway/budget/loan_client.cpp
+++ b/modules/gateway/budget/loan_client.cpp
@@ -68,7 +68,7 @@
 {
     const std::shared_ptr<const member_list> known = this->options.members();
     std::vector<std::pair<std::uint64_t, member>> ranked;
-    for (const member& entry : known == nullptr ? std::vector<member>{} : known->drawers) {
+    for (const member& entry : known == nullptr ? std::vector<member>{} : known->ledger_writers) {
         const bool is_silent = now < this->refused_until[entry.id];
         const bool is_short = now < this->refused_until[lender_account(entry.id, asked.workspace)];
         asked.has_reached_lender = asked.has_reached_lender || is_short;
--- a/modules/gateway/budget/loan_client.h
+++ b/modules/gateway/budget/loan_client.h
@@ -29,7 +29,7 @@
    silent.
    Traffic thread only.
 
-    @see budget_access, choose_drawers
+    @see budget_access, choose_ledger_writers
 */
 class loan_client {
 public:
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -15,8 +15,8 @@
 constexpr std::chrono::seconds end_piece{1};
 constexpr std::chrono::seconds tail_phase{1};
 constexpr std::chrono::seconds kept_when_others_lack{2};
-// In a large fleet a node that draws does so for ten; the object API allows far more than this doubling.
-constexpr std::uint32_t ledgers_drawn_for = 4;
+// In a large fleet a ledger writer draws for ten nodes; the object API allows far more than twice the calls.
+constexpr double call_factor = 2;
 // A draw and the conflicts of the first moments take a tenth of a second; four times the waiting requests
 // last until the next one.
 constexpr std::int64_t drawn_ahead = 4;
@@ -44,13 +44,14 @@
                                      .tail = tail_phase,
                                      .kept_for_own_use = kept_when_others_lack,
                                      .drawn_ahead = drawn_ahead,
+                                     .counts_reservations = true,
                                      .minimum_draw = this->options.budget.minimum_draw_tokens,
                                      .shared_sixteenths = this->options.budget.held_sixteenths,
                                      .tapers_with_rest = true,
                                      .settle_interval = settle_interval,
                                      .demand_smoothing = demand_smoothing},
         .on_shortage = [this] { this->request_draw(); },
-        .calls = budget::call_limits_for(this->options.budget.ledgers * ledgers_drawn_for)};
+        .calls = budget::scale(budget::call_limits_for(this->options.budget.ledgers), call_factor)};
 }
 
 budget::budget_controller_options budget_supply::controller_options()
--- a/modules/gateway/control/member_tracker.cpp
+++ b/modules/gateway/control/member_tracker.cpp
@@ -1,6 +1,6 @@
 #include "gateway/control/member_tracker.h"
 
-#include "gateway/budget/drawer_choice.h"
+#include "gateway/budget/ledger_writers.h"
 
 namespace samphireway::gateway {
 
@@ -83,7 +83,7 @@
     for (const auto& [id, entry] : this->entries) {
         list->members.push_back(entry);
     }
-    list->drawers = choose_drawers(list->members, this->maximum_drawers);
+    list->ledger_writers = choose_ledger_writers(list->members, this->maximum_ledger_writers);
     return list;
 }
 
--- a/modules/gateway/control/member_tracker.h
+++ b/modules/gateway/control/member_tracker.h
@@ -26,13 +26,13 @@
 class member_tracker {
 public:
     /** @param given_maximum largest number of nodes that draw from the budget ledgers. */
-    explicit member_tracker(std::size_t given_maximum) : maximum_drawers(given_maximum) {}
+    explicit member_tracker(std::size_t given_maximum) : maximum_ledger_writers(given_maximum) {}
 
     /** Takes a batch in and returns the list to publish. */
     std::shared_ptr<const member_list> apply(const followed_batch& received);
 
 private:
-    const std::size_t maximum_drawers;
+    const std::size_t maximum_ledger_writers;
     std::map<std::string, member> entries;
 };
 
--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -1,7 +1,7 @@
 #include "gateway/exchange/exchange.h"
 
 #include "gateway/exchange/refusal.h"
-#include "gateway/placement/placement.h"
+#include "gateway/exchange/upstream_choice.h"
 
 #include <algorithm>
 
@@ -19,25 +19,9 @@
 constexpr milliseconds expected_place{300};
 // Outages of the store last seconds, so a refused requester comes back as late as it may.
 constexpr milliseconds expected_draw{4000};
-// Time in which a node learns of routes and upstreams after its start.
-constexpr milliseconds expected_start{400};
 constexpr std::int64_t logged_share = 16; ///< One of this many plain successes is logged.
 constexpr unsigned first_error_status = 400;
 
-/** Returns the hash of the parts of a prompt that other requests share: all but the last one. */
-std::optional<std::uint64_t> hash_shared_parts(const std::vector<prompt_part>& parts)
-{
-    if (parts.empty()) {
-        return std::nullopt;
-    }
-    const std::size_t shared = std::max<std::size_t>(1, parts.size() - 1);
-    std::string key;
-    for (std::size_t index = 0; index < shared; ++index) {
-        key += parts[index].id + ',';
-    }
-    return core::hash64(key);
-}
-
 } // namespace
 
 exchange::exchange(gateway_context& shared, request_message received, responder answer,
@@ -50,63 +34,25 @@
 void exchange::start()
 {
     ++this->context.counts.requests_in_flight;
-    const core::result<void> resolved = this->resolve();
-    if (!resolved) {
-        this->refuse(resolved.error());
+    const core::result<void> outcome =
+        resolve_request(this->resolved, this->context, this->request, this->arrival);
+    this->history.deadline = this->resolved.deadline;
+    if (!outcome) {
+        this->refuse(outcome.error());
         return;
     }
     this->arm_deadline();
     this->reserve_budget();
 }
 
-core::result<void> exchange::resolve()
-{
-    this->history.deadline = this->arrival + std::chrono::seconds(1);
-    core::result<request_facts> read = this->context.dialect.read_request(this->request.headers);
-    if (!read) {
-        return tl::unexpected(read.error());
-    }
-    this->facts = std::move(*read);
-    this->selector = core::hash64(this->facts.attempt_id);
-    this->table = this->context.board.routes.read();
-    if (this->table == nullptr) {
-        return tl::unexpected(core::error{.code = core::error_code::platform_unavailable,
-                                          .message = "no configuration is known yet",
-                                          .retry_after = expected_start});
-    }
-    const std::string* host = find_header(this->request.headers, "Host");
-    this->matched = host == nullptr ? nullptr : this->table->find_route(*host, this->request.target);
-    if (this->matched == nullptr || this->matched->shares.empty()) {
-        return core::failure(core::error_code::not_found, "no route matches the host and path");
-    }
-    this->customer = this->table->find_workspace(this->facts.key);
-    if (this->table->needs_key() && !this->matched->is_anonymous && this->customer == nullptr) {
-        return core::failure(core::error_code::unauthenticated, "the key is unknown");
-    }
-    this->history.deadline = this->arrival + std::min(this->matched->timeout,
-                                                      this->facts.time_left.value_or(this->matched->timeout));
-    if (this->context.drain.refuses(clock::now())) {
-        return tl::unexpected(core::error{.code = core::error_code::draining,
-                                          .message = "this node is stopping",
-                                          .retry_after = milliseconds(10)});
-    }
-    this->service_name = choose_service(*this->matched, this->selector);
-    const service* target = this->table->find_service(this->service_name);
-    if (target != nullptr && target->engine) {
-        this->tokens_per_event = target->engine->tokens_per_event;
-    }
-    this->prefix = hash_shared_parts(this->facts.prompt_parts);
-    return {};
-}
-
 void exchange::reserve_budget()
 {
-    const std::int64_t tokens = this->facts.maximum_tokens();
-    if (this->customer == nullptr || !this->customer->prepaid_tokens || tokens <= 0) {
+    const std::int64_t tokens = this->resolved.facts.maximum_tokens();
+    if (this->resolved.customer == nullptr || !this->resolved.customer->prepaid_tokens || tokens <= 0) {
         this->begin_attempt();
         return;
     }
-    this->context.budget.reserve(this->customer->name, tokens, clock::now(), this->history.deadline,
+    this->context.budget.reserve(this->resolved.customer->name, tokens, clock::now(), this->history.deadline,
                                  [self = this->shared_from_this()](core::result<held_budget> outcome) {
                                      if (self->is_finished) {
                                          if (outcome) {
@@ -137,7 +83,14 @@
 
 void exchange::begin_attempt()
 {
-    const std::shared_ptr<const upstream> target = this->choose();
+    const std::shared_ptr<const upstream> target =
+        find_upstream(this->context,
+                      upstream_search{.service_name = this->resolved.service_name,
+                                      .tried = this->tried,
+                                      .prefix = this->resolved.prefix,
+                                      .selector = this->resolved.selector,
+                                      .is_idempotent = is_idempotent(*this->resolved.matched)},
+                      clock::now());
     if (target == nullptr) {
         this->refuse(core::error{.code = core::error_code::no_upstream,
                                  .message = "no upstream of the service can take the request",
@@ -147,43 +100,6 @@
     this->send_to(target);
 }
 
-std::shared_ptr<const upstream> exchange::choose()
-{
-    const std::shared_ptr<const upstream_table> known = this->context.board.upstreams.read();
-    if (known == nullptr) {
-        return nullptr;
-    }
-    const auto listed = known->by_service.find(this->service_name);
-    if (listed == known->by_service.end()) {
-        return nullptr;
-    }
-    const core::steady_time now = clock::now();
-    std::vector<std::shared_ptr<const upstream>> usable;
-    std::vector<placement_candidate> candidates;
-    for (const std::shared_ptr<const upstream>& entry : listed->second) {
-        if (entry->is_draining || this->tried.contains(entry->id)) {
-            continue;
-        }
-        const bool is_ejected = this->context.health.is_ejected(entry->id);
-        const bool is_trial = is_ejected && is_idempotent(*this->matched) &&
-                              this->context.health.check(entry->id, now) == routing::health_state::trial;
-        if (is_trial) {
-            return entry;
-        }
-        const upstream_load load = this->context.loads.read(entry->id);
-        usable.push_back(entry);
-        candidates.push_back(
-            placement_candidate{.id = entry->id,
-                                .in_flight = load.in_flight,
-                                .is_same_zone = entry->availability_zone == this->context.availability_zone,
-                                .is_full = now < load.full_until,
-                                .is_suspect = is_ejected});
-    }
-    const std::optional<std::size_t> chosen =
-        choose_upstream(candidates, placement_request{.prefix = this->prefix, .selector = this->selector});
-    return chosen ? usable[*chosen] : nullptr;
-}
-
 void exchange::send_to(const std::shared_ptr<const upstream>& target)
 {
     this->current = target;
@@ -198,15 +114,16 @@
                             .headers = this->request.headers,
                             .body = this->request.body};
     remove_connection_headers(message.headers);
-    const int priority = this->customer != nullptr && this->customer->priority ? *this->customer->priority
-                                                                               : this->matched->priority;
+    const int priority = this->resolved.customer != nullptr && this->resolved.customer->priority
+                             ? *this->resolved.customer->priority
+                             : this->resolved.matched->priority;
     this->context.dialect.write_request(
         message.headers,
         forwarding_facts{.time_left = this->time_left(),
                          .upstream_id = target->id,
-                         .workspace = this->customer == nullptr ? "" : this->customer->name,
+                         .workspace = this->resolved.customer == nullptr ? "" : this->resolved.customer->name,
                          .priority = priority,
-                         .last_event_id = this->events.last_id().empty() ? this->facts.last_event_id
+                         .last_event_id = this->events.last_id().empty() ? this->resolved.facts.last_event_id
                                                                          : this->events.last_id()});
     this->connection = this->context.pool.acquire(*target, now);
     this->arm_silence();
@@ -225,40 +142,21 @@
 {
     const response_facts read = this->context.dialect.read_response(received);
     const bool is_unnamed_refusal = read.attempt_id.empty() && (read.is_not_run || read.is_wrong_upstream);
-    if (read.attempt_id != this->facts.attempt_id && !is_unnamed_refusal) {
+    if (read.attempt_id != this->resolved.facts.attempt_id && !is_unnamed_refusal) {
         core::log_event(core::log_level::warning, "response_discarded",
-                        {{"request", this->facts.attempt_id},
+                        {{"request", this->resolved.facts.attempt_id},
                          {"upstream", this->current->id},
                          {"echoed", read.attempt_id},
                          {"status", received.status}});
         return response_owner::earlier_request;
     }
-    this->use = this->classify(received, read);
+    this->use = classify_response(this->resolved.matched->kind, received, read, this->has_begun_stream);
     if (!this->has_begun_stream) {
         this->head = received;
     }
     return response_owner::this_request;
 }
 
-exchange::response_use exchange::classify(const response_head& received, const response_facts& read) const
-{
-    const bool is_success = received.status / 100 == 2;
-    if (read.is_not_run || read.is_wrong_upstream) {
-        return response_use::not_run;
-    }
-    if (is_success && !read.is_signed) {
-        return response_use::unusable;
-    }
-    if (is_success && this->matched->kind == route_kind::stream) {
-        return response_use::pass_stream;
-    }
-    // A status that promises "not run" must not be passed on from an upstream that has not promised it.
-    if (promises_not_run(received.status) || (this->has_begun_stream && !is_success)) {
-        return response_use::unusable;
-    }
-    return response_use::pass_whole;
-}
-
 void exchange::on_body(std::string_view bytes)
 {
     this->arm_silence();
@@ -350,8 +248,9 @@
         return;
     }
     const bool is_failure = this->head.status / 100 == 5;
-    if (is_failure && may_try_again(*this->matched, this->history, now) == next_attempt::needs_budget &&
-        this->context.retries.has_any(this->service_name)) {
+    if (is_failure &&
+        may_try_again(*this->resolved.matched, this->history, now) == next_attempt::needs_budget &&
+        this->context.retries.has_any(this->resolved.service_name)) {
         this->release_upstream(true);
         this->attempt_failed("failed_by_upstream");
         return;
@@ -386,7 +285,7 @@
     this->silence_timer.cancel();
     ++this->context.counts.attempt_results[std::string(cause)];
     core::log_event(core::log_level::info, "attempt_failed",
-                    {{"request", this->facts.attempt_id},
+                    {{"request", this->resolved.facts.attempt_id},
                      {"upstream", this->current->id},
                      {"cause", cause},
                      {"status", this->head.status},
@@ -395,8 +294,8 @@
                      {"time_left_ms", this->time_left().count()}});
     this->release_upstream(false);
     this->events.drop_partial();
-    next_attempt next = may_try_again(*this->matched, this->history, clock::now());
-    if (next == next_attempt::needs_budget && !this->context.retries.spend(this->service_name)) {
+    next_attempt next = may_try_again(*this->resolved.matched, this->history, clock::now());
+    if (next == next_attempt::needs_budget && !this->context.retries.spend(this->resolved.service_name)) {
         next = next_attempt::forbidden;
     }
     if (next != next_attempt::forbidden) {
@@ -437,10 +336,10 @@
 
 void exchange::arm_silence()
 {
-    if (!is_idempotent(*this->matched)) {
+    if (!is_idempotent(*this->resolved.matched)) {
         return;
     }
-    this->silence_timer.expires_after(silence_limit(*this->matched, this->has_begun_stream));
+    this->silence_timer.expires_after(silence_limit(*this->resolved.matched, this->has_begun_stream));
     this->silence_timer.async_wait([self = this->shared_from_this()](boost::system::error_code failure) {
         if (!failure && !self->is_finished && self->connection != nullptr) {
             self->on_silence();
@@ -456,8 +355,9 @@
     attempt_history after = this->history;
     ++after.sends;
     after.may_have_run = true;
-    const bool may_move = may_try_again(*this->matched, after, clock::now()) == next_attempt::needs_budget &&
-                          this->context.retries.has_any(this->service_name);
+    const bool may_move =
+        may_try_again(*this->resolved.matched, after, clock::now()) == next_attempt::needs_budget &&
+        this->context.retries.has_any(this->resolved.service_name);
     if (!may_move) {
         return; // The response may still come before the deadline.
     }
@@ -494,8 +394,9 @@
     else if (cause.code == core::error_code::upstream_timeout) {
         final_cause.code = core::error_code::overloaded; // Nothing was sent, so the refusal is a promise.
     }
-    const milliseconds advice = retry_after(std::max(cause.retry_after, milliseconds(10)),
-                                            std::max(this->time_left(), milliseconds(0)), this->selector);
+    const milliseconds advice =
+        retry_after(std::max(cause.retry_after, milliseconds(10)),
+                    std::max(this->time_left(), milliseconds(0)), this->resolved.selector);
     const response_head refusal = make_refusal_head(final_cause, advice);
     const bool was_started = this->has_begun_stream;
     this->finish(was_started ? "broken_off" : "refused", refusal.status, final_cause.message);
@@ -534,25 +435,27 @@
             std::chrono::duration_cast<std::chrono::microseconds>(*this->first_output - this->arrival));
     }
     const bool is_plain = outcome == "served" && this->history.sends <= 1;
-    if (!this->service_name.empty()) {
-        this->context.retries.earn(this->service_name);
+    if (!this->resolved.service_name.empty()) {
+        this->context.retries.earn(this->resolved.service_name);
     }
-    if (is_plain && this->selector % logged_share != 0) {
+    if (is_plain && this->resolved.selector % logged_share != 0) {
         return;
     }
-    core::log_event(core::log_level::info, "request_ended",
-                    {{"request", this->facts.attempt_id},
-                     {"route", this->matched == nullptr ? "" : this->matched->name},
-                     {"workspace", this->customer == nullptr ? "" : this->customer->name},
-                     {"outcome", outcome},
-                     {"status", status},
-                     {"cause", cause},
-                     {"upstream", this->current == nullptr ? "" : this->current->id},
-                     {"sends", this->history.sends},
-                     {"events", this->events.count()},
-                     {"took_ms", whole.count() / 1000},
-                     {"configuration",
-                      this->table == nullptr ? 0 : static_cast<long long>(this->table->source().version)}});
+    core::log_event(
+        core::log_level::info, "request_ended",
+        {{"request", this->resolved.facts.attempt_id},
+         {"route", this->resolved.matched == nullptr ? "" : this->resolved.matched->name},
+         {"workspace", this->resolved.customer == nullptr ? "" : this->resolved.customer->name},
+         {"outcome", outcome},
+         {"status", status},
+         {"cause", cause},
+         {"upstream", this->current == nullptr ? "" : this->current->id},
+         {"sends", this->history.sends},
+         {"events", this->events.count()},
+         {"took_ms", whole.count() / 1000},
+         {"configuration", this->resolved.table == nullptr
+                               ? 0
+                               : static_cast<long long>(this->resolved.table->source().version)}});
 }
 
 void exchange::settle_budget()
@@ -561,11 +464,12 @@
         return;
     }
     // A workspace pays for what it received: nothing when no part of the response went out.
-    const bool is_stream = this->matched->kind == route_kind::stream;
-    const std::int64_t delivered =
-        is_stream ? std::min(this->facts.maximum_output_tokens, this->events.count() * this->tokens_per_event)
-                  : this->facts.maximum_output_tokens;
-    const std::int64_t used = this->first_output ? this->facts.prompt_tokens + delivered : 0;
+    const bool is_stream = this->resolved.matched->kind == route_kind::stream;
+    const std::int64_t delivered = is_stream
+                                       ? std::min(this->resolved.facts.maximum_output_tokens,
+                                                  this->events.count() * this->resolved.tokens_per_event)
+                                       : this->resolved.facts.maximum_output_tokens;
+    const std::int64_t used = this->first_output ? this->resolved.facts.prompt_tokens + delivered : 0;
     this->context.budget.settle(*this->reserved, used);
     this->reserved.reset();
 }
--- a/modules/gateway/exchange/exchange.h
+++ b/modules/gateway/exchange/exchange.h
@@ -2,7 +2,9 @@
 
 #include "gateway/exchange/attempt_policy.h"
 #include "gateway/exchange/gateway_context.h"
+#include "gateway/exchange/request_resolution.h"
 #include "gateway/exchange/responder.h"
+#include "gateway/exchange/response_use.h"
 #include "gateway/http/event_splitter.h"
 
 #include <boost/asio/steady_timer.hpp>
@@ -36,17 +38,11 @@
     void output_drained();
 
 private:
-    /** What the current upstream's response is for. */
-    enum class response_use { undecided, pass_whole, pass_stream, not_run, unusable };
-
-    core::result<void> resolve();
     void reserve_budget();
     void refuse_for_budget(const core::error& cause);
     void begin_attempt();
-    std::shared_ptr<const upstream> choose();
     void send_to(const std::shared_ptr<const upstream>& target);
     response_owner on_head(const response_head& head);
-    response_use classify(const response_head& head, const response_facts& facts) const;
     void on_body(std::string_view bytes);
     void pass_events(std::string_view bytes);
     void on_end(upstream_result result);
@@ -68,14 +64,7 @@
     const responder requester;
     const core::steady_time arrival;
 
-    std::shared_ptr<const route_table> table;
-    const route* matched = nullptr;
-    const workspace* customer = nullptr;
-    std::string service_name;
-    std::int64_t tokens_per_event = 1;
-    request_facts facts;
-    std::uint64_t selector = 0; ///< Hash of the attempt id.
-    std::optional<std::uint64_t> prefix;
+    resolved_request resolved;
     attempt_history history;
     std::set<std::string> tried;
     std::optional<held_budget> reserved;
--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -16,19 +16,25 @@
 
 namespace samphireway::gateway {
 
-/** What all exchanges of a node share. Traffic thread only, except for the blackboard. @see exchange */
+/**
+    What all exchanges of a node share. The references are given, the rest belongs to it. Traffic thread only,
+   except for the blackboard.
+
+    @see exchange
+*/
 struct gateway_context {
     boost::asio::io_context& io;
     const std::string& availability_zone;
-    const blackboard& board;
     const header_dialect& dialect;
     budget_access& budget;
-    routing::health_table& health;
-    traffic::retry_budget& retries; ///< By service.
-    upstream_pool& pool;
-    load_tracker& loads;
-    drain_state& drain;
-    counters& counts;
+    traffic::retry_budget retries{traffic::retry_budget_options{}}; ///< By service.
+
+    blackboard board = {};
+    routing::health_table health{routing::health_options{}};
+    upstream_pool pool{this->io};
+    load_tracker loads = {};
+    drain_state drain = {};
+    counters counts = {};
 };
 
 } // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/exchange/request_resolution.cpp
@@ -0,0 +1,74 @@
+#include "gateway/exchange/request_resolution.h"
+
+#include <algorithm>
+
+namespace samphireway::gateway {
+
+namespace {
+
+using std::chrono::milliseconds;
+using clock = std::chrono::steady_clock;
+
+// Time in which a node learns of routes and upstreams after its start.
+constexpr milliseconds expected_start{400};
+// Bounds the advice to come back when the request's own time is not known.
+constexpr std::chrono::seconds unresolved_time{1};
+
+/** Returns the hash of the parts of a prompt that other requests share: all but the last one. */
+std::optional<std::uint64_t> hash_shared_parts(const std::vector<prompt_part>& parts)
+{
+    if (parts.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t shared = std::max<std::size_t>(1, parts.size() - 1);
+    std::string key;
+    for (std::size_t index = 0; index < shared; ++index) {
+        key += parts[index].id + ',';
+    }
+    return core::hash64(key);
+}
+
+} // namespace
+
+core::result<void> resolve_request(resolved_request& found, const gateway_context& context,
+                                   const request_message& request, core::steady_time arrival)
+{
+    found.deadline = arrival + unresolved_time;
+    core::result<request_facts> read = context.dialect.read_request(request.headers);
+    if (!read) {
+        return tl::unexpected(read.error());
+    }
+    found.facts = std::move(*read);
+    found.selector = core::hash64(found.facts.attempt_id);
+    found.table = context.board.routes.read();
+    if (found.table == nullptr) {
+        return tl::unexpected(core::error{.code = core::error_code::platform_unavailable,
+                                          .message = "no configuration is known yet",
+                                          .retry_after = expected_start});
+    }
+    const std::string* host = find_header(request.headers, "Host");
+    found.matched = host == nullptr ? nullptr : found.table->find_route(*host, request.target);
+    if (found.matched == nullptr || found.matched->shares.empty()) {
+        return core::failure(core::error_code::not_found, "no route matches the host and path");
+    }
+    found.customer = found.table->find_workspace(found.facts.key);
+    if (found.table->needs_key() && !found.matched->is_anonymous && found.customer == nullptr) {
+        return core::failure(core::error_code::unauthenticated, "the key is unknown");
+    }
+    found.deadline =
+        arrival + std::min(found.matched->timeout, found.facts.time_left.value_or(found.matched->timeout));
+    if (context.drain.refuses(clock::now())) {
+        return tl::unexpected(core::error{.code = core::error_code::draining,
+                                          .message = "this node is stopping",
+                                          .retry_after = milliseconds(10)});
+    }
+    found.service_name = choose_service(*found.matched, found.selector);
+    const service* target = found.table->find_service(found.service_name);
+    if (target != nullptr && target->engine) {
+        found.tokens_per_event = target->engine->tokens_per_event;
+    }
+    found.prefix = hash_shared_parts(found.facts.prompt_parts);
+    return {};
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/exchange/upstream_choice.cpp
@@ -0,0 +1,46 @@
+#include "gateway/exchange/upstream_choice.h"
+
+#include "gateway/placement/placement.h"
+
+#include <vector>
+
+namespace samphireway::gateway {
+
+std::shared_ptr<const upstream> find_upstream(gateway_context& context, const upstream_search& wanted,
+                                              core::steady_time now)
+{
+    const std::shared_ptr<const upstream_table> known = context.board.upstreams.read();
+    if (known == nullptr) {
+        return nullptr;
+    }
+    const auto listed = known->by_service.find(wanted.service_name);
+    if (listed == known->by_service.end()) {
+        return nullptr;
+    }
+    std::vector<std::shared_ptr<const upstream>> usable;
+    std::vector<placement_candidate> candidates;
+    for (const std::shared_ptr<const upstream>& entry : listed->second) {
+        if (entry->is_draining || wanted.tried.contains(entry->id)) {
+            continue;
+        }
+        const bool is_ejected = context.health.is_ejected(entry->id);
+        const bool is_trial = is_ejected && wanted.is_idempotent &&
+                              context.health.check(entry->id, now) == routing::health_state::trial;
+        if (is_trial) {
+            return entry;
+        }
+        const upstream_load load = context.loads.read(entry->id);
+        usable.push_back(entry);
+        candidates.push_back(
+            placement_candidate{.id = entry->id,
+                                .in_flight = load.in_flight,
+                                .is_same_zone = entry->availability_zone == context.availability_zone,
+                                .is_full = now < load.full_until,
+                                .is_suspect = is_ejected});
+    }
+    const std::optional<std::size_t> chosen =
+        choose_upstream(candidates, placement_request{.prefix = wanted.prefix, .selector = wanted.selector});
+    return chosen ? usable[*chosen] : nullptr;
+}
+
+} // namespace samphireway::gateway
--- a/modules/gateway/model/member.h
+++ b/modules/gateway/model/member.h
@@ -19,7 +19,8 @@
 /** The nodes of the fleet. Immutable once published. */
 struct member_list {
     std::vector<member> members;
-    std::vector<member> drawers; ///< Those that draw from the budget ledgers. @see choose_drawers
+    std::vector<member>
+        ledger_writers; ///< Those that draw from the budget ledgers. @see choose_ledger_writers
 };
 
 } // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/process/internal_calls.cpp
@@ -0,0 +1,110 @@
+#include "gateway/process/internal_calls.h"
+
+#include "gateway/budget/loan_messages.h"
+#include "gateway/process/gateway_metrics.h"
+
+namespace samphireway::gateway {
+
+namespace {
+
+const std::string metrics_path = "/metrics";
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_unavailable = 503;
+
+} // namespace
+
+internal_calls::internal_calls(const gateway_context& shared, std::string given_token)
+    : context(shared), token(std::move(given_token))
+{
+}
+
+internal_handler internal_calls::answer_probes() const
+{
+    return [this](const request_message& request, const answer_handler& answer) {
+        if (request.target == metrics_path) {
+            answer(this->metrics_response());
+            return;
+        }
+        answer(internal_response{.status = this->is_ready() ? status_ok : status_unavailable});
+    };
+}
+
+internal_handler internal_calls::answer_nodes() const
+{
+    return [this](const request_message& request, const answer_handler& answer) {
+        if (request.target == metrics_path) {
+            answer(this->metrics_response());
+            return;
+        }
+        const bool is_loan = request.target == loan_path;
+        if (request.method != "POST" || (!is_loan && request.target != loan_report_path)) {
+            answer(internal_response{.status = status_not_found});
+            return;
+        }
+        if (!this->is_authorized(request)) {
+            answer(internal_response{.status = status_unauthorized});
+            return;
+        }
+        if (is_loan) {
+            this->lend(request, answer);
+            return;
+        }
+        this->take_report(request, answer);
+    };
+}
+
+bool internal_calls::is_ready() const
+{
+    return !this->context.drain.is_draining() && this->context.board.routes.read() != nullptr &&
+           this->context.board.upstreams.read() != nullptr;
+}
+
+bool internal_calls::is_authorized(const request_message& request) const
+{
+    const std::string* const proof = find_header(request.headers, "Authorization");
+    return proof != nullptr && core::equal_in_constant_time(*proof, "Bearer " + this->token);
+}
+
+internal_response internal_calls::metrics_response() const
+{
+    const std::shared_ptr<const upstream_table> published = this->context.board.upstreams.read();
+    const upstream_table none;
+    return internal_response{.body = write_metrics(this->context.counts, published ? *published : none,
+                                                   this->context.pool.opened(), this->context.health),
+                             .content_type = "text/plain; version=0.0.4"};
+}
+
+void internal_calls::lend(const request_message& request, const answer_handler& answer) const
+{
+    const core::result<loan_call> call = parse_loan_call(request.body);
+    if (!call) {
+        answer(internal_response{.status = status_bad_request, .body = call.error().message});
+        return;
+    }
+    this->context.budget.lend(
+        *call, std::chrono::steady_clock::now(), [answer, call = *call](const core::result<void>& lent) {
+            const int status = lent ? static_cast<int>(status_ok) : core::http_status(lent.error().code);
+            core::log_event(lent ? core::log_level::debug : core::log_level::info, "loan",
+                            {{"borrower", call.borrower},
+                             {"workspace", call.workspace},
+                             {"tokens", call.tokens},
+                             {"status", status}});
+            answer(internal_response{.status = static_cast<unsigned>(status)});
+        });
+}
+
+void internal_calls::take_report(const request_message& request, const answer_handler& answer) const
+{
+    const core::result<loan_report> report = parse_loan_report(request.body);
+    if (!report) {
+        answer(internal_response{.status = status_bad_request, .body = report.error().message});
+        return;
+    }
+    this->context.budget.take_report(*report);
+    answer(internal_response{});
+}
+
+} // namespace samphireway::gateway
--- a/modules/settings/gateway/gateway_settings.cpp
+++ b/modules/settings/gateway/gateway_settings.cpp
@@ -53,8 +53,8 @@
         reader.integer("horizon_s", {.minimum = 1, .maximum = 86400, .fallback = result.horizon.count()}));
     result.held_sixteenths = static_cast<int>(
         reader.integer("held_sixteenths", {.minimum = 1, .maximum = 15, .fallback = result.held_sixteenths}));
-    result.drawers = static_cast<int>(
-        reader.integer("drawers", {.minimum = 1, .maximum = 1024, .fallback = result.drawers}));
+    result.ledger_writers = static_cast<int>(
+        reader.integer("ledger_writers", {.minimum = 1, .maximum = 1024, .fallback = result.ledger_writers}));
     result.minimum_draw_tokens = reader.integer(
         "minimum_draw_tokens", {.minimum = 1, .maximum = 10000000, .fallback = result.minimum_draw_tokens});
     reader.finish();
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -40,7 +40,7 @@
     int held_sixteenths = 8;
     /** Largest number of nodes that draw from the ledgers; the others borrow from them. Eight nodes that
      * settle once a second meet few conflicts. */
-    int drawers = 8;
+    int ledger_writers = 8;
     std::int64_t minimum_draw_tokens = 12000; ///< A smaller draw is not worth a write.
 };
 
--- a/tests/gateway/budget_access_test.cpp
+++ b/tests/gateway/budget_access_test.cpp
@@ -73,7 +73,7 @@
     /** From now on a node borrows before it draws. */
     void set_borrower(int index)
     {
-        this->nodes.at(static_cast<std::size_t>(index))->is_drawer = false;
+        this->nodes.at(static_cast<std::size_t>(index))->is_ledger_writer = false;
     }
 
     /** From now on no node answers a call for a loan. */
@@ -114,7 +114,11 @@
     struct node {
         node(budget_nodes& all, const std::string& name)
             : purse({.holder = name + ".0",
-                     .draw = {.horizon = 10s, .drawn_ahead = 4, .minimum_draw = 1000, .settle_interval = 1s},
+                     .draw = {.horizon = 10s,
+                              .drawn_ahead = 4,
+                              .counts_reservations = true,
+                              .minimum_draw = 1000,
+                              .settle_interval = 1s},
                      .time = {.now = [] { return core::wall_time(1h); },
                               .steady =
                                   [&all] {
@@ -123,7 +127,7 @@
               client(budget::purse::object_key(0)),
               access(this->purse,
                      {.can_draw = [this] { return !this->is_cut; },
-                      .is_drawer = [this] { return this->is_drawer; },
+                      .is_ledger_writer = [this] { return this->is_ledger_writer; },
                       .borrow = [this, &all](const std::string& plan, std::int64_t tokens,
                                              auto on_loan) { all.borrow(*this, plan, tokens, on_loan); },
                       .report = [this, &all](const gateway::due_report& report,
@@ -138,7 +142,7 @@
         }
 
         bool is_cut = false;
-        bool is_drawer = true;
+        bool is_ledger_writer = true;
         budget::purse purse;
         escrow::ledger_client client;
         gateway::budget_access access;
@@ -310,7 +314,7 @@
     gateway::budget_access alone(
         purse,
         {.can_draw = [] { return false; },
-         .is_drawer = [] { return true; },
+         .is_ledger_writer = [] { return true; },
          .borrow = [](const std::string&, std::int64_t,
                       auto on_loan) { on_loan(core::failure(core::error_code::no_upstream, "no lender")); },
          .report =
--- a/tests/gateway/loan_test.cpp
+++ b/tests/gateway/loan_test.cpp
@@ -1,5 +1,5 @@
 #include "gateway/budget/borrowed_budget.h"
-#include "gateway/budget/drawer_choice.h"
+#include "gateway/budget/ledger_writers.h"
 #include "gateway/budget/loan_messages.h"
 
 #include <criterion/criterion.h>
@@ -26,11 +26,11 @@
     return nodes;
 }
 
-std::set<std::string> drawer_ids(const std::vector<gateway::member>& nodes, std::size_t maximum)
+std::set<std::string> writer_ids(const std::vector<gateway::member>& nodes, std::size_t maximum)
 {
     std::set<std::string> ids;
-    for (const gateway::member& drawer : gateway::choose_drawers(nodes, maximum)) {
-        ids.insert(drawer.id);
+    for (const gateway::member& writer : gateway::choose_ledger_writers(nodes, maximum)) {
+        ids.insert(writer.id);
     }
     return ids;
 }
@@ -38,35 +38,35 @@
 } // namespace
 
 // Guards against nodes that disagree about who draws, and against a choice that shifts when a node joins.
-Test(drawer_choice, choice_is_the_same_everywhere_and_stable)
+Test(ledger_writers, choice_is_the_same_everywhere_and_stable)
 {
     std::vector<gateway::member> nodes = make_nodes(80);
-    const std::set<std::string> before = drawer_ids(nodes, 8);
+    const std::set<std::string> before = writer_ids(nodes, 8);
     cr_assert_eq(before.size(), 8U);
     std::reverse(nodes.begin(), nodes.end());
-    cr_assert(drawer_ids(nodes, 8) == before);
+    cr_assert(writer_ids(nodes, 8) == before);
     nodes.push_back({.id = "joined", .address = {}, .port = 0, .token = {}});
     int kept = 0;
-    for (const std::string& id : drawer_ids(nodes, 8)) {
+    for (const std::string& id : writer_ids(nodes, 8)) {
         kept += before.contains(id) ? 1 : 0;
     }
     cr_assert_geq(kept, 7);
 }
 
 // Guards against small fleets and freshly started nodes that wait for lenders.
-Test(drawer_choice, small_fleets_and_unknown_fleets_draw)
+Test(ledger_writers, small_fleets_and_unknown_fleets_draw)
 {
-    gateway::member_list known{.members = make_nodes(5), .drawers = {}};
-    known.drawers = gateway::choose_drawers(known.members, 8);
-    cr_assert(gateway::is_drawer(&known, "node-4"));
-    cr_assert(gateway::is_drawer(nullptr, "node-4"));
+    gateway::member_list known{.members = make_nodes(5), .ledger_writers = {}};
+    known.ledger_writers = gateway::choose_ledger_writers(known.members, 8);
+    cr_assert(gateway::is_ledger_writer(&known, "node-4"));
+    cr_assert(gateway::is_ledger_writer(nullptr, "node-4"));
     const gateway::member_list large{.members = make_nodes(9),
-                                     .drawers = gateway::choose_drawers(make_nodes(9), 8)};
-    int drawers = 0;
+                                     .ledger_writers = gateway::choose_ledger_writers(make_nodes(9), 8)};
+    int writers = 0;
     for (const gateway::member& node : large.members) {
-        drawers += gateway::is_drawer(&large, node.id) ? 1 : 0;
+        writers += gateway::is_ledger_writer(&large, node.id) ? 1 : 0;
     }
-    cr_assert_eq(drawers, 8);
+    cr_assert_eq(writers, 8);
 }
 
 // Guards against returns that are credited to a later process of the lender, which knows nothing of the loan.
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -194,7 +194,7 @@
     implementation()
         : purse({.holder = "node.0", .draw = {.horizon = std::chrono::seconds(10)}}),
           budget(this->purse, {.can_draw = [] { return true; },
-                               .is_drawer = [] { return true; },
+                               .is_ledger_writer = [] { return true; },
                                .borrow = [](const std::string&, std::int64_t,
                                             auto on_loan) { on_loan(tl::unexpected(core::error{})); },
                                .report =
@@ -202,15 +202,8 @@
                                    }}),
           context{.io = this->io,
                   .availability_zone = this->zone,
-                  .board = this->board,
                   .dialect = this->dialect,
-                  .budget = this->budget,
-                  .health = this->health,
-                  .retries = this->retries,
-                  .pool = this->pool,
-                  .loads = this->loads,
-                  .drain = this->drain,
-                  .counts = this->counts},
+                  .budget = this->budget},
           ledger(budget::purse::object_key(0))
     {
         const auto stored =
@@ -243,17 +236,10 @@
 
     asio::io_context io;
     const std::string zone = "here";
-    gateway::blackboard board;
     const gateway::header_dialect dialect = adapter::make_header_dialect();
     fake_object_store store;
     budget::purse purse;
     gateway::budget_access budget;
-    routing::health_table health{routing::health_options{}};
-    traffic::retry_budget retries{traffic::retry_budget_options{}};
-    gateway::upstream_pool pool{this->io};
-    gateway::load_tracker loads;
-    gateway::drain_state drain;
-    gateway::counters counts;
     gateway::gateway_context context;
     escrow::ledger_client ledger;
     std::list<std::unique_ptr<scripted_upstream>> upstreams;
@@ -285,7 +271,7 @@
     for (const std::unique_ptr<scripted_upstream>& entry : this->state->upstreams) {
         table->by_service["desk"].push_back(std::make_shared<gateway::upstream>(entry->entry()));
     }
-    this->state->board.upstreams.publish(table);
+    this->state->context.board.upstreams.publish(table);
     return *this->state->upstreams.back();
 }
 
@@ -300,7 +286,7 @@
     source.workspaces.push_back({.name = workspace, .keys = {"k1"}, .prepaid_tokens = prepaid});
     source.limits.header_bytes = 4096;
     source.limits.body_bytes = 8192;
-    this->state->board.routes.publish(std::make_shared<gateway::route_table>(std::move(source)));
+    this->state->context.board.routes.publish(std::make_shared<gateway::route_table>(std::move(source)));
 }
 
 std::string loopback_gateway::send(const std::string& bytes)
@@ -326,7 +312,8 @@
     read();
     this->state->run_until([&] {
         const bool is_quiet = std::chrono::steady_clock::now() - last_byte > quiet_time;
-        return is_over || (is_quiet && !response.empty() && this->state->counts.requests_in_flight == 0);
+        return is_over ||
+               (is_quiet && !response.empty() && this->state->context.counts.requests_in_flight == 0);
     });
     socket.close();
     this->state->io.run_for(milliseconds(1));
@@ -350,12 +337,12 @@
 
 gateway::drain_state& loopback_gateway::drain()
 {
-    return this->state->drain;
+    return this->state->context.drain;
 }
 
 gateway::counters& loopback_gateway::counts()
 {
-    return this->state->counts;
+    return this->state->context.counts;
 }
 
 std::int64_t loopback_gateway::billed_tokens() const
