--- a/modules/gateway/budget/budget_access.cpp
+++ b/modules/gateway/budget/budget_access.cpp
@@ -9,8 +9,9 @@
 using std::chrono::milliseconds;
 
 // The ledger usually answers within milliseconds; a longer wait means that it is unavailable or
-// contended.
+// contended. A node that can borrow instead waits less, so that the loan comes in time as well.
 constexpr milliseconds maximum_draw_wait{600};
+constexpr milliseconds draw_wait_before_loan{250};
 // The borrower waits for the answer with a short timeout, so a draw on its behalf must be quick.
 constexpr milliseconds maximum_lend_wait{150};
 // Lenders size their draws by the reported use, which they measure once a second.
@@ -44,9 +45,30 @@
         return;
     }
     if (this->hooks.is_ledger_writer() && this->hooks.can_draw()) {
-        this->await_draw(workspace, tokens, now, deadline, on_outcome);
+        this->draw_or_borrow(workspace, tokens, now, deadline, on_outcome);
         return;
     }
+    this->borrow(workspace, tokens, deadline, on_outcome);
+}
+
+void budget_access::draw_or_borrow(const std::string& workspace, std::int64_t tokens, core::steady_time now,
+                                   core::steady_time deadline, const outcome_handler& on_outcome)
+{
+    this->await_draw(
+        workspace, tokens, now, std::min(deadline, now + draw_wait_before_loan),
+        [this, workspace, tokens, deadline, on_outcome](core::result<budget_reservation> outcome) {
+            const bool is_late = !outcome && outcome.error().code == core::error_code::budget_unavailable;
+            if (is_late && this->hooks.time.steady() < deadline) {
+                this->borrow(workspace, tokens, deadline, on_outcome);
+                return;
+            }
+            on_outcome(std::move(outcome));
+        });
+}
+
+void budget_access::borrow(const std::string& workspace, std::int64_t tokens, core::steady_time deadline,
+                           const outcome_handler& on_outcome)
+{
     this->hooks.borrow(workspace, tokens,
                        [this, workspace, tokens, deadline, on_outcome](const core::result<loan>& received) {
                            this->on_loan(workspace, tokens, received, deadline, on_outcome);
--- a/modules/gateway/budget/budget_access.h
+++ b/modules/gateway/budget/budget_access.h
@@ -89,6 +89,12 @@
      * periodically. */
     void check(core::steady_time now);
 
+    /** Returns whether this node can reach the ledger. */
+    bool can_draw() const
+    {
+        return this->hooks.can_draw();
+    }
+
     /** Returns whether any request waits for a draw. */
     bool is_waiting() const noexcept
     {
@@ -99,6 +105,10 @@
     std::optional<budget_reservation> reserve_borrowed(const std::string& workspace, std::int64_t tokens);
     void await_draw(const std::string& workspace, std::int64_t tokens, core::steady_time now,
                     core::steady_time deadline, const outcome_handler& on_outcome);
+    void draw_or_borrow(const std::string& workspace, std::int64_t tokens, core::steady_time now,
+                        core::steady_time deadline, const outcome_handler& on_outcome);
+    void borrow(const std::string& workspace, std::int64_t tokens, core::steady_time deadline,
+                const outcome_handler& on_outcome);
     void on_loan(const std::string& workspace, std::int64_t tokens, const core::result<loan>& received,
                  core::steady_time deadline, const outcome_handler& on_outcome);
     void send_reports(bool returns_all);
--- a/modules/gateway/budget/ledger_writers.h
+++ b/modules/gateway/budget/ledger_writers.h
@@ -13,9 +13,9 @@
     from these.
 
     In a small fleet all nodes draw. In a larger fleet each additional writer would increase the
-    conflicts between ledger writes, so only a subset draws. The nodes are ranked by the hash of their
-    ids, so every node computes the same subset, and a node that joins or leaves replaces at most one
-    writer.
+    conflicts between ledger writes, so only a subset draws. The nodes are ranked by capacity and the hash
+    of their ids, so every node computes the same subset, and a node that joins or leaves replaces at most
+    one writer.
 
     @see loan_client
 */
--- a/modules/gateway/budget/loan_client.cpp
+++ b/modules/gateway/budget/loan_client.cpp
@@ -1,5 +1,7 @@
 #include "gateway/budget/loan_client.h"
 
+#include "gateway/http/peer_call.h"
+
 #include <algorithm>
 
 namespace samphireway::gateway {
@@ -11,32 +13,17 @@
 
 // Covers two round trips between availability zones and a draw by the lender.
 constexpr milliseconds answer_timeout{220};
-constexpr milliseconds pause_after_no_answer{1000};
-// Within this time a lender that lacked budget of a workspace has drawn again, if it can.
-constexpr milliseconds pause_after_refusal{300};
-// Asking more lenders would use up the requester's time. Lenders that recently did not answer are
-// skipped, so three are enough.
-constexpr std::size_t maximum_lenders = 3;
 constexpr unsigned status_ok = 200;
 constexpr unsigned status_exhausted = 402;
 
-std::string lender_workspace_key(const std::string& node, const std::string& workspace)
-{
-    return node + "/" + workspace;
-}
-
-request_message make_message(const member& lender, const std::string& path, std::string body)
-{
-    return request_message{.method = "POST",
-                           .target = path,
-                           .headers = {{"Host", lender.address},
-                                       {"Authorization", "Bearer " + lender.token},
-                                       {"Content-Type", "application/json"}},
-                           .body = std::move(body)};
-}
-
 } // namespace
 
+/** The answer of a lender; without one, the status is zero. */
+struct loan_client::loan_answer {
+    unsigned status = 0;
+    bool has_ledger_contact = true;
+};
+
 /** One call of `borrow`, which asks several lenders in turn. */
 struct loan_client::borrow_attempt {
     std::string workspace;
@@ -50,7 +37,7 @@
 };
 
 loan_client::loan_client(boost::asio::io_context& context_to_use, loan_client_options options_to_use)
-    : io(context_to_use), options(std::move(options_to_use)), pool(context_to_use)
+    : io(context_to_use), options(std::move(options_to_use)), pool(context_to_use), book(this->options.node)
 {
 }
 
@@ -60,32 +47,24 @@
     attempt->workspace = workspace;
     attempt->tokens = tokens;
     attempt->on_loan = std::move(on_loan);
-    attempt->remaining_lenders = this->choose_lenders(*attempt, clock::now());
+    this->choose_lenders(*attempt);
     attempt->timer = std::make_unique<boost::asio::steady_timer>(this->io);
     this->ask_next(attempt);
 }
 
-std::vector<member> loan_client::choose_lenders(borrow_attempt& attempt, core::steady_time now)
+void loan_client::choose_lenders(borrow_attempt& attempt)
 {
     const std::shared_ptr<const member_list> known = this->options.members();
-    std::vector<std::pair<std::uint64_t, member>> ranked;
-    for (const member& entry : known == nullptr ? std::vector<member>{} : known->ledger_writers) {
-        const bool is_silent = now < this->skipped_until[entry.id];
-        const bool is_short = now < this->skipped_until[lender_workspace_key(entry.id, attempt.workspace)];
-        attempt.has_reached_lender = attempt.has_reached_lender || is_short;
-        if (entry.id != this->options.node && !is_silent && !is_short) {
-            // Each borrower prefers the same lenders, so its leftover tokens come from few loans and its
-            // reports go to few nodes.
-            ranked.emplace_back(core::hash64(entry.id + this->options.node), entry);
-        }
-    }
-    std::sort(ranked.begin(), ranked.end(),
-              [](const auto& left, const auto& right) { return left.first < right.first; });
-    std::vector<member> chosen;
-    for (std::size_t index = std::min(ranked.size(), maximum_lenders); index-- > 0;) {
-        chosen.push_back(std::move(ranked[index].second)); // The preferred lender comes last.
+    if (known == nullptr) {
+        return;
     }
-    return chosen;
+    const std::shared_ptr<const std::vector<std::string>> in_contact = this->options.in_contact();
+    lender_choice choice =
+        this->book.choose(*known, in_contact == nullptr ? std::vector<std::string>{} : *in_contact,
+                          attempt.workspace, clock::now());
+    attempt.has_reached_lender = choice.has_recent_refusal;
+    attempt.remaining_lenders = std::move(choice.lenders);
+    std::reverse(attempt.remaining_lenders.begin(), attempt.remaining_lenders.end());
 }
 
 std::shared_ptr<upstream_connection> loan_client::connect(const member& lender, core::steady_time now)
@@ -98,8 +77,8 @@
 {
     const std::shared_ptr<upstream_connection> connection = this->connect(pending.lender, clock::now());
     const request_message message =
-        make_message(pending.lender, loan_report_path,
-                     make_loan_report({.borrower = this->options.borrower, .uses = pending.uses}));
+        make_peer_call(pending.lender, loan_report_path,
+                       make_loan_report({.borrower = this->options.borrower, .uses = pending.uses}));
     auto timer = std::make_shared<boost::asio::steady_timer>(this->io, answer_timeout);
     timer->async_wait([this, connection, lender = pending.lender.id](boost::system::error_code failure) {
         if (!failure) {
@@ -151,35 +130,42 @@
     attempt->timer->async_wait([this, attempt, lender](boost::system::error_code failure) {
         if (!failure && !attempt->is_answered) {
             attempt->connection->close();
-            this->on_answer(attempt, lender, 0);
+            this->on_answer(attempt, lender, {});
         }
     });
-    const request_message call = make_message(lender, loan_path,
-                                              make_loan_call({.borrower = this->options.borrower,
-                                                              .workspace = attempt->workspace,
-                                                              .tokens = attempt->tokens}));
-    auto status = std::make_shared<unsigned>(0);
+    const request_message call = make_peer_call(lender, loan_path,
+                                                make_loan_call({.borrower = this->options.borrower,
+                                                                .workspace = attempt->workspace,
+                                                                .tokens = attempt->tokens}));
+    auto received = std::make_shared<loan_answer>();
     attempt->connection->send(
         call, upstream_hooks{.on_head =
-                                 [status](const response_head& head) {
-                                     *status = head.status;
+                                 [received](const response_head& head) {
+                                     const std::string* const contact =
+                                         find_header(head.headers, ledger_contact_header);
+                                     received->status = head.status;
+                                     received->has_ledger_contact = contact == nullptr || *contact != "no";
                                      return response_owner::this_request;
                                  },
                              .on_body = [](std::string_view) {},
                              .on_end =
-                                 [this, attempt, lender, status](upstream_result result) {
+                                 [this, attempt, lender, received](upstream_result result) {
                                      const bool is_complete = result == upstream_result::complete;
-                                     this->on_answer(attempt, lender, is_complete ? *status : 0);
+                                     this->on_answer(attempt, lender,
+                                                     is_complete ? *received : loan_answer{});
                                  }});
 }
 
 void loan_client::on_answer(const std::shared_ptr<borrow_attempt>& attempt, const member& lender,
-                            unsigned status)
+                            const loan_answer& answer)
 {
+    const unsigned status = answer.status;
+    const core::steady_time now = clock::now();
     attempt->is_answered = true;
     attempt->timer->cancel();
-    if (status == status_ok || status == status_exhausted) {
-        this->pool.release(lender.id, attempt->connection, clock::now());
+    if (status != 0) {
+        this->book.record_contact(lender.id, answer.has_ledger_contact, now);
+        this->pool.release(lender.id, attempt->connection, now);
     }
     attempt->connection = nullptr;
     core::log_event(core::log_level::debug, "loan_answered",
@@ -198,12 +184,11 @@
         return;
     }
     if (status == 0) {
-        this->skipped_until[lender.id] = clock::now() + pause_after_no_answer;
+        this->book.record_silence(lender.id, now);
     }
     else {
         attempt->has_reached_lender = true;
-        this->skipped_until[lender_workspace_key(lender.id, attempt->workspace)] =
-            clock::now() + pause_after_refusal;
+        this->book.record_refusal(lender.id, attempt->workspace, now);
     }
     this->ask_next(attempt);
 }
--- a/modules/gateway/budget/loan_client.h
+++ b/modules/gateway/budget/loan_client.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 #include "gateway/budget/borrowed_budget.h"
+#include "gateway/budget/lender_book.h"
 #include "gateway/budget/loan_messages.h"
 #include "gateway/http/upstream_pool.h"
 #include "gateway/model/member.h"
@@ -11,7 +12,7 @@
 #include <functional>
 #include <memory>
 #include <string>
-#include <unordered_map>
+#include <vector>
 
 namespace samphireway::gateway {
 
@@ -20,15 +21,16 @@
     std::string node;     ///< Id of this node, which is not asked for loans.
     std::string borrower; ///< Id of this process, which lenders record with a loan.
     std::function<std::shared_ptr<const member_list>()> members;
+    /** Returns the ids of nodes that can reach the object API; null if unknown. */
+    std::function<std::shared_ptr<const std::vector<std::string>>()> in_contact;
 };
 
 /**
     Borrows budget from the ledger writers, asking one after the other until one of them lends.
 
-    A node that refused is not asked again for the same workspace for a short time. A node that did not
-    answer is not asked at all for a somewhat longer time. Traffic thread only.
+    Traffic thread only.
 
-    @see budget_access, choose_ledger_writers
+    @see budget_access, lender_book
 */
 class loan_client {
 public:
@@ -52,17 +54,19 @@
     }
 
 private:
+    struct loan_answer;
     struct borrow_attempt;
 
-    std::vector<member> choose_lenders(borrow_attempt& attempt, core::steady_time now);
+    void choose_lenders(borrow_attempt& attempt);
     std::shared_ptr<upstream_connection> connect(const member& lender, core::steady_time now);
     void ask_next(const std::shared_ptr<borrow_attempt>& attempt);
-    void on_answer(const std::shared_ptr<borrow_attempt>& attempt, const member& lender, unsigned status);
+    void on_answer(const std::shared_ptr<borrow_attempt>& attempt, const member& lender,
+                   const loan_answer& answer);
 
     boost::asio::io_context& io;
     const loan_client_options options;
     upstream_pool pool;
-    std::unordered_map<std::string, core::steady_time> skipped_until; ///< By node, or node and workspace.
+    lender_book book;
     int reports_in_flight = 0;
 };
 
--- a/modules/gateway/budget/loan_messages.h
+++ b/modules/gateway/budget/loan_messages.h
@@ -14,6 +14,9 @@
 /** Path of the call by which a borrower reports used tokens of its loans and returns unused ones. */
 inline const std::string loan_report_path = "/loans/reports";
 
+/** Header field of the answer to a loan call: whether the lender can reach the ledger, `yes` or `no`. */
+inline const std::string ledger_contact_header = "Ledger-Contact";
+
 /** The request for a loan that a borrower sends to a lender. */
 struct loan_call {
     std::string borrower; ///< Id of the borrowing process.
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -9,7 +9,7 @@
 
 constexpr milliseconds deposit_retry_interval{400};
 // All requests that run short of budget within this time share one ledger write.
-constexpr milliseconds draw_delay{15};
+constexpr milliseconds draw_delay{30};
 // When little of a plan's budget is left, holders keep less in advance, so that the remaining tokens
 // stay available to the nodes that need them.
 constexpr std::chrono::seconds low_phase_threshold{6};
@@ -95,12 +95,12 @@
     return store;
 }
 
-void budget_supply::set_deposits(std::map<std::string, std::int64_t> totals, core::steady_time not_before)
+void budget_supply::set_deposits(deposit_update update, core::steady_time not_before)
 {
-    if (totals == this->target_totals) {
+    if (update == this->target) {
         return;
     }
-    this->target_totals = std::move(totals);
+    this->target = std::move(update);
     this->are_totals_stored = false;
     this->next_store_at = not_before;
     this->tick(clock::now());
@@ -118,10 +118,8 @@
 {
     this->is_storing = true;
     this->are_totals_stored = true; // Reset by a new configuration or a failed write.
-    this->options.run_blocking([this, totals = this->target_totals] {
-        const core::result<void> stored = store_deposits(
-            this->options.store, this->account,
-            deposit_update{.totals = totals, .node = this->options.node, .holder = this->options.holder});
+    this->options.run_blocking([this, update = this->target] {
+        const core::result<void> stored = store_deposits(this->options.store, this->account, update);
         this->options.run_control([this, stored] {
             this->is_storing = false;
             if (stored) {
--- a/modules/gateway/control/budget_supply.h
+++ b/modules/gateway/control/budget_supply.h
@@ -42,9 +42,9 @@
         return this->account;
     }
 
-    /** Sets the prepaid totals of the newest configuration, by workspace. They are written to the
-     * ledgers at `not_before` or later. */
-    void set_deposits(std::map<std::string, std::int64_t> totals, core::steady_time not_before);
+    /** Sets what the ledgers should hold besides grants. It is written at `not_before` or later; without a
+     * change, nothing is. */
+    void set_deposits(deposit_update update, core::steady_time not_before);
 
     /** Starts the draws, settlements and deposit writes whose time has come. Call this periodically. */
     void tick(core::steady_time now);
@@ -74,7 +74,7 @@
     std::atomic<bool> is_draw_requested = false;
     budget::grant_pool account;
     budget::budget_controller controller;
-    std::map<std::string, std::int64_t> target_totals;
+    deposit_update target;
     bool are_totals_stored = true;
     bool is_storing = false;
     core::steady_time next_store_at;
--- a/modules/gateway/control/fleet_view.h
+++ b/modules/gateway/control/fleet_view.h
@@ -5,9 +5,15 @@
 #include "gateway/control/object_follower.h"
 #include "gateway/control/upstream_tracker.h"
 #include "gateway/exchange/blackboard.h"
+#include "gateway/relay/relay_hub.h"
+#include "gateway/relay/relay_order.h"
+#include "gateway/relay/relay_subscription.h"
 
+#include <atomic>
 #include <chrono>
 #include <functional>
+#include <memory>
+#include <mutex>
 #include <string>
 
 namespace samphireway::gateway {
@@ -19,21 +25,26 @@
     std::string upstreams_prefix;  ///< Key prefix of the objects in which upstreams register.
     configuration_reader read_configuration;
     upstream_reader read_upstream;
-    std::chrono::milliseconds watch_wait{0}; ///< Longest wait of a watch call, except for nodes.
+    std::chrono::milliseconds watch_wait{0}; ///< Longest wait of a watch call of a node without relays.
     std::size_t maximum_ledger_writers = 0;  ///< Largest number of nodes that draw from the ledgers.
+    relay_order_options relays;
+    relay_subscription_options subscription; ///< Without the hooks, but for `send`.
     blackboard& board;
     std::function<void(std::function<void()>)> run_control;     ///< Runs a task on the control thread.
     std::function<void(const configuration&)> on_configuration; ///< Called on the control thread.
+    core::clock time = {};
 };
 
 /**
-    Follows the configuration, the upstreams and the nodes in the object API and publishes them on the
-    blackboard.
+    Knows the configuration, the upstreams and the nodes as the object API holds them, and publishes them
+    on the blackboard.
 
-    Each of the three kinds has a follower that reads on its own thread. The batches are applied on the
-    control thread.
+    In a large fleet a few relays watch the object API and the other nodes poll these. A node whose relays
+    are not current watches the object API itself until they are again. Whoever sends a batch, it is
+    applied only if it raises the revision. All state is the control thread's; each follower calls on its
+    own thread.
 
-    @see object_follower
+    @see object_follower, relay_subscription, relay_hub
 */
 class fleet_view {
 public:
@@ -45,24 +56,53 @@
     /** Stops the followers. The owner of the store must interrupt waiting calls first. Idempotent. */
     void stop();
 
-    /** Removes upstreams whose entries have been missing for too long. Control thread only. */
-    void expire(core::steady_time now);
+    /** Chooses the sources, removes upstreams whose entries have been missing for too long, and answers
+     * polls whose wait has ended. Call this periodically. Control thread only. */
+    void tick();
+
+    /** Returns the answers to other nodes' polls. Control thread only. */
+    relay_hub& hub() noexcept
+    {
+        return this->relay;
+    }
 
 private:
-    follower_options configuration_options();
-    follower_options upstream_options();
-    follower_options member_options();
-    follower_options make_follower_options(const std::string& prefix,
-                                           std::chrono::milliseconds minimum_interval,
-                                           std::function<void(const followed_batch&)> apply);
+    /** One kind of objects: its follower and what both threads of it share. */
+    struct source_state {
+        std::unique_ptr<object_follower> follower;
+        bool is_lost = false; ///< Whether the follower's last call failed.
+        core::steady_time connected_since;
+        std::mutex mutex;
+        std::optional<platform::object_version> known_revision; ///< Guarded by the mutex.
+    };
+
+    relay_subscription_options make_subscription_options();
+    void make_follower(feed_kind kind, const std::string& prefix);
+    follower_pace pace_of(feed_kind kind) const;
+    void on_store_batch(feed_kind kind, followed_batch received);
+    void on_store_failure(feed_kind kind, const core::error& failure);
+    void accept(feed_kind kind, const followed_batch& received);
+    void apply(feed_kind kind, const followed_batch& received);
+    void choose_sources();
+    void update_connection();
+    bool is_connected() const;
+    bool is_in_contact() const;
+    void set_candidates();
 
     const fleet_view_options options;
-    configuration_tracker configurations; ///< Control thread only.
-    upstream_tracker upstreams;           ///< Control thread only.
-    member_tracker members;               ///< Control thread only.
-    object_follower configuration_follower;
-    object_follower upstream_follower;
-    object_follower member_follower;
+    configuration_tracker configurations;
+    upstream_tracker upstreams;
+    member_tracker members;
+    per_feed<object_feed> feeds;
+    contact_book contacts;
+    relay_hub relay{this->feeds, this->contacts};
+    relay_subscription subscription;
+    per_feed<source_state> sources;
+    relay_order order;
+    std::vector<std::string> published_contacts;
+    std::atomic<bool> is_relay = true; ///< Also read by the followers' threads.
+    std::atomic<bool> is_in_large_fleet = false;
+    bool was_connected = true;
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/control/member_tracker.cpp
+++ b/modules/gateway/control/member_tracker.cpp
@@ -2,12 +2,18 @@
 
 #include "gateway/budget/ledger_writers.h"
 
+#include <algorithm>
+
 namespace samphireway::gateway {
 
 namespace {
 
 // Another process of the same node writes the entry at most once or twice at the same time.
 constexpr int maximum_write_attempts = 4;
+// Far above the capacity of any VM; a larger stored number is treated as this one.
+constexpr double maximum_capacity = 1e6;
+// Holders of processes beyond these stay outstanding until their own node closes them.
+constexpr std::size_t maximum_ended_processes = 1024;
 
 std::string id_of(const std::string& key)
 {
@@ -22,6 +28,9 @@
     json["address"] = entry.address;
     json["port"] = entry.port;
     json["token"] = entry.token;
+    json["process"] = entry.process;
+    json["availability_zone"] = entry.availability_zone;
+    json["capacity"] = entry.capacity;
     return json;
 }
 
@@ -41,6 +50,12 @@
         return core::failure(core::error_code::invalid_argument,
                              "the address or the token of the node is missing");
     }
+    entry.process = core::string_member(value, "process");
+    entry.availability_zone = core::string_member(value, "availability_zone");
+    const Json::Value& capacity = value["capacity"];
+    if (capacity.isNumeric() && capacity.asDouble() > 0) {
+        entry.capacity = std::min(capacity.asDouble(), maximum_capacity);
+    }
     return entry;
 }
 
@@ -63,6 +78,7 @@
 
 std::shared_ptr<const member_list> member_tracker::apply(const followed_batch& received)
 {
+    const std::map<std::string, member> before = this->entries;
     if (received.is_full_list) {
         this->entries.clear();
     }
@@ -78,15 +94,32 @@
                             {{"node", id}, {"reason", entry.error().message}});
             continue;
         }
-        core::log_event(core::log_level::info, "member_known", {{"node", id}, {"address", entry->address}});
         this->entries[id] = std::move(*entry);
     }
+    this->record_changes(before);
     auto list = std::make_shared<member_list>();
     for (const auto& [id, entry] : this->entries) {
         list->members.push_back(entry);
     }
     list->ledger_writers = choose_ledger_writers(list->members, this->maximum_ledger_writers);
+    list->ended_processes = this->ended_processes;
     return list;
 }
 
+void member_tracker::record_changes(const std::map<std::string, member>& before)
+{
+    for (const auto& [id, entry] : this->entries) {
+        const auto earlier = before.find(id);
+        if (earlier != before.end() && earlier->second == entry) {
+            continue;
+        }
+        core::log_event(core::log_level::info, "member_known", {{"node", id}, {"address", entry.address}});
+        const bool is_restarted = earlier != before.end() && !earlier->second.process.empty() &&
+                                  earlier->second.process != entry.process;
+        if (is_restarted && this->ended_processes.size() < maximum_ended_processes) {
+            this->ended_processes.insert(earlier->second.process);
+        }
+    }
+}
+
 } // namespace samphireway::gateway
--- a/modules/gateway/control/member_tracker.h
+++ b/modules/gateway/control/member_tracker.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace samphireway::gateway {
@@ -30,12 +31,15 @@
      * ledgers. */
     explicit member_tracker(std::size_t maximum_to_use) : maximum_ledger_writers(maximum_to_use) {}
 
-    /** Applies a batch and returns the list of nodes to publish. */
+    /** Applies a batch, of which a listing replaces all entries, and returns the list of nodes to publish. */
     std::shared_ptr<const member_list> apply(const followed_batch& received);
 
 private:
+    void record_changes(const std::map<std::string, member>& before);
+
     const std::size_t maximum_ledger_writers;
     std::map<std::string, member> entries;
+    std::set<std::string> ended_processes;
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/control/object_follower.cpp
+++ b/modules/gateway/control/object_follower.cpp
@@ -21,49 +21,79 @@
 
 void object_follower::stop()
 {
-    this->is_stopping = true;
+    {
+        const std::lock_guard lock(this->mutex);
+        this->is_stopping = true;
+    }
     this->wake.notify_all();
     if (this->thread.joinable()) {
         this->thread.join();
     }
 }
 
+void object_follower::set_active(bool should_call)
+{
+    if (this->is_active == should_call) {
+        return;
+    }
+    {
+        const std::lock_guard lock(this->mutex);
+        this->is_active = should_call;
+    }
+    this->wake.notify_all();
+}
+
 void object_follower::run()
 {
     while (!this->is_stopping) {
-        core::result<followed_batch> next = this->read_next();
-        if (next) {
-            this->is_listed = true;
-            this->revision = next->batch.revision;
-            this->next_retry_delay = this->options.initial_retry_delay;
-            this->options.on_batch(std::move(*next));
-            this->pause(this->options.minimum_interval);
-            continue;
-        }
-        if (this->is_stopping) {
-            return;
+        this->await_activation();
+        if (!this->is_stopping) {
+            this->follow_once();
         }
-        this->options.on_failure(next.error());
-        if (next.error().code == core::error_code::history_gone) {
-            this->is_listed = false;
-            continue;
+    }
+}
+
+void object_follower::follow_once()
+{
+    const follower_pace pace = this->options.pace();
+    core::result<followed_batch> next = this->read_next(pace);
+    if (next) {
+        this->must_list = false;
+        this->next_retry_delay = this->options.initial_retry_delay;
+        this->received_revision = next->batch.revision;
+        const bool has_changes = !next->batch.changed.empty();
+        this->options.on_batch(std::move(*next));
+        if (has_changes) {
+            this->pause(pace.minimum_interval);
         }
-        this->pause(this->next_retry_delay);
-        this->next_retry_delay = std::min(this->next_retry_delay * 2, this->options.maximum_retry_delay);
+        return;
     }
+    if (this->is_stopping) {
+        return;
+    }
+    this->options.on_failure(next.error());
+    if (next.error().code == core::error_code::history_gone) {
+        this->must_list = true;
+        return;
+    }
+    this->pause(std::min(this->next_retry_delay, pace.maximum_retry_delay));
+    this->next_retry_delay = std::min(this->next_retry_delay * 2, pace.maximum_retry_delay);
 }
 
-core::result<followed_batch> object_follower::read_next()
+core::result<followed_batch> object_follower::read_next(const follower_pace& pace)
 {
+    // The control thread may not have applied the last batch yet.
+    const std::optional<platform::object_version> known =
+        this->must_list ? std::nullopt : std::max(this->options.known_revision(), this->received_revision);
     core::result<platform::watch_batch> batch =
-        this->is_listed
-            ? this->options.store.watch(this->options.prefix, this->revision,
-                                        std::chrono::steady_clock::now() + this->options.watch_wait)
-            : this->options.store.list(this->options.prefix);
+        known ? this->options.store.watch(this->options.prefix, *known,
+                                          std::chrono::steady_clock::now() + pace.watch_wait)
+              : this->options.store.list(this->options.prefix);
     if (!batch) {
         return tl::unexpected(batch.error());
     }
-    return followed_batch{.batch = std::move(*batch), .is_full_list = !this->is_listed};
+    return followed_batch{
+        .batch = std::move(*batch), .is_full_list = !known.has_value(), .after = known.value_or(0)};
 }
 
 void object_follower::pause(std::chrono::milliseconds length)
@@ -72,7 +102,13 @@
         return;
     }
     std::unique_lock lock(this->mutex);
-    this->wake.wait_for(lock, length, [this] { return this->is_stopping.load(); });
+    this->wake.wait_for(lock, length, [this] { return this->is_stopping || !this->is_active; });
+}
+
+void object_follower::await_activation()
+{
+    std::unique_lock lock(this->mutex);
+    this->wake.wait(lock, [this] { return this->is_stopping || this->is_active; });
 }
 
 } // namespace samphireway::gateway
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -8,34 +8,47 @@
 #include <condition_variable>
 #include <functional>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 
 namespace samphireway::gateway {
 
-/** Objects that a follower has received in one call. @see object_follower */
+/** Objects that were received in one answer of the object API or of a relay. @see object_follower */
 struct followed_batch {
     platform::watch_batch batch;
-    bool is_full_list = false; ///< Whether the batch contains every existing object below the prefix.
+    bool is_full_list = false;        ///< Whether the batch contains every existing object below the prefix.
+    platform::object_version after{}; ///< Revision after which the batch contains every change.
+    /** Start of the sender's uninterrupted contact with the object API. Empty if unknown. */
+    std::optional<core::steady_time> connected_since = std::nullopt;
+};
+
+/** How often a follower calls the object API. @see follower_options */
+struct follower_pace {
+    std::chrono::milliseconds watch_wait{2500};         ///< Longest wait of a watch call for changes.
+    std::chrono::milliseconds minimum_interval{0};      ///< Pause after changes, to collect further ones.
+    std::chrono::milliseconds maximum_retry_delay{800}; ///< Limits how late an outage's end is noticed.
 };
 
 /** Options of a follower. @see object_follower */
 struct follower_options {
     platform::object_store store;
     std::string prefix;
-    std::chrono::milliseconds watch_wait{2500};         ///< Longest wait of a watch call for changes.
-    std::chrono::milliseconds minimum_interval{0};      ///< Pause after a batch, to collect changes.
     std::chrono::milliseconds initial_retry_delay{200}; ///< First delay; doubled per further failure.
-    std::chrono::milliseconds maximum_retry_delay{800}; ///< Limits how late an outage's end is noticed.
-    std::function<void(followed_batch)> on_batch;       ///< Called on the follower's thread.
+    /** Returns the revision from which to watch, or nothing if the objects must be listed. */
+    std::function<std::optional<platform::object_version>()> known_revision;
+    std::function<follower_pace()> pace;          ///< Called before each call, on the follower's thread.
+    std::function<void(followed_batch)> on_batch; ///< Called on the follower's thread.
     std::function<void(const core::error&)> on_failure; ///< Called on the follower's thread.
 };
 
 /**
-    Lists the objects below a prefix and then watches them for changes, on its own thread.
+    Lists the objects below a prefix and then watches them for changes, on its own thread, while it is
+    active.
 
-    After a failed call it resumes the watch from the same revision. It lists the objects again when the
-    store no longer keeps the changes since that revision.
+    A watch starts from the revision that the node knows, whoever it has it from. After a failed call the
+    follower resumes from there. It lists the objects again when the store no longer keeps the changes
+    since that revision.
 */
 class object_follower {
 public:
@@ -50,15 +63,21 @@
     /** Stops the thread. The owner of the store must interrupt a waiting call first. Idempotent. */
     void stop();
 
+    /** Lets the follower call the object API, or makes it sleep after the current call. Initially active. */
+    void set_active(bool should_call);
+
 private:
     void run();
-    core::result<followed_batch> read_next();
+    void follow_once();
+    core::result<followed_batch> read_next(const follower_pace& pace);
     void pause(std::chrono::milliseconds length);
+    void await_activation();
 
     const follower_options options;
     std::atomic<bool> is_stopping = false;
-    bool is_listed = false;
-    platform::object_version revision = 0;
+    std::atomic<bool> is_active = true;
+    bool must_list = false;
+    std::optional<platform::object_version> received_revision; ///< Revision of the last batch.
     std::chrono::milliseconds next_retry_delay;
     std::mutex mutex;
     std::condition_variable wake;
--- a/modules/gateway/control/prepaid_deposits.cpp
+++ b/modules/gateway/control/prepaid_deposits.cpp
@@ -1,5 +1,7 @@
 #include "gateway/control/prepaid_deposits.h"
 
+#include <algorithm>
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -18,6 +20,34 @@
     return count;
 }
 
+/** Returns whether a holder id is that of a process: PROCESS or PROCESS.EPOCH. */
+bool belongs_to(const std::string& holder, const std::string& process)
+{
+    return holder == process || holder.starts_with(process + ".");
+}
+
+std::int64_t close_holders(escrow::account& target,
+                           const std::function<bool(const std::string& id)>& is_ended, std::int64_t now_ms)
+{
+    std::vector<std::pair<std::string, escrow::amount>> ended;
+    for (const auto& [id, entry] : target.holders) {
+        if (is_ended(id)) {
+            ended.emplace_back(id, entry.outstanding());
+        }
+    }
+    std::int64_t written_off = 0;
+    for (const auto& [id, outstanding] : ended) {
+        const core::result<escrow::closure> closed = escrow::close_holder(target, id, outstanding, now_ms);
+        if (!closed) {
+            core::log_event(core::log_level::error, "grant_not_closed",
+                            {{"holder", id}, {"reason", closed.error().message}});
+            continue;
+        }
+        written_off += outstanding;
+    }
+    return written_off;
+}
+
 } // namespace
 
 std::map<std::string, std::int64_t> prepaid_amounts(const configuration& source)
@@ -47,25 +77,21 @@
 std::int64_t close_predecessors(escrow::account& target, const std::string& node, const std::string& holder,
                                 std::int64_t now_ms)
 {
-    std::vector<std::pair<std::string, escrow::amount>> predecessors;
-    for (const auto& [id, entry] : target.holders) {
-        const bool is_of_node = id.starts_with(node + ".");
-        const bool is_own = id == holder || id.starts_with(holder + ".");
-        if (is_of_node && !is_own) {
-            predecessors.emplace_back(id, entry.outstanding());
-        }
-    }
-    std::int64_t written_off = 0;
-    for (const auto& [id, outstanding] : predecessors) {
-        const core::result<escrow::closure> closed = escrow::close_holder(target, id, outstanding, now_ms);
-        if (!closed) {
-            core::log_event(core::log_level::error, "grant_not_closed",
-                            {{"holder", id}, {"reason", closed.error().message}});
-            continue;
-        }
-        written_off += outstanding;
-    }
-    return written_off;
+    return close_holders(
+        target, [&](const std::string& id) { return id.starts_with(node + ".") && !belongs_to(id, holder); },
+        now_ms);
+}
+
+std::int64_t close_ended(escrow::account& target, const std::set<std::string>& ended_processes,
+                         std::int64_t now_ms)
+{
+    return close_holders(
+        target,
+        [&](const std::string& id) {
+            return std::any_of(ended_processes.begin(), ended_processes.end(),
+                               [&id](const std::string& process) { return belongs_to(id, process); });
+        },
+        now_ms);
 }
 
 core::result<void> store_deposits(const platform::object_store& store, const budget::grant_pool& grant_pool,
@@ -86,6 +112,7 @@
                 const bool has_raised_deposits = raise_deposits(ledger, totals);
                 for (auto& [name, account] : ledger.accounts) {
                     written_off += close_predecessors(account, update.node, update.holder, now_ms);
+                    written_off += close_ended(account, update.ended_processes, now_ms);
                 }
                 return has_raised_deposits || count_holders(ledger) != holders_before;
             });
--- a/modules/gateway/control/prepaid_deposits.h
+++ b/modules/gateway/control/prepaid_deposits.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 
 namespace samphireway::gateway {
@@ -33,17 +34,25 @@
 std::int64_t close_predecessors(escrow::account& target, const std::string& node, const std::string& holder,
                                 std::int64_t now_ms);
 
-/** The deposits that a node writes to the ledgers when it starts and when the configuration changes.
- * @see store_deposits */
+/** Closes the holders of processes that have ended. Returns the tokens written off.
+ * @see close_predecessors */
+std::int64_t close_ended(escrow::account& target, const std::set<std::string>& ended_processes,
+                         std::int64_t now_ms);
+
+/** What a ledger writer brings into the ledgers when it starts, and when the configuration or the nodes
+ * change. @see store_deposits */
 struct deposit_update {
     std::map<std::string, std::int64_t> totals; ///< Prepaid tokens by workspace.
     std::string node;
-    std::string holder; ///< Id of this process in the ledgers.
+    std::string holder;                    ///< Id of this process in the ledgers.
+    std::set<std::string> ended_processes; ///< Ids of other nodes' processes that have ended.
+
+    bool operator==(const deposit_update&) const = default;
 };
 
 /**
     Raises the ledgers' deposits to the totals of a configuration and closes the holders of the node's
-    earlier processes, one ledger object after the other.
+    earlier processes and of those that have ended, one ledger object after the other.
 
     Fails like `escrow::ledger_client::update`. After a failure it can safely be called again.
 */
--- a/modules/gateway/control/upstream_tracker.cpp
+++ b/modules/gateway/control/upstream_tracker.cpp
@@ -1,5 +1,6 @@
 #include "gateway/control/upstream_tracker.h"
 
+#include <algorithm>
 #include <set>
 #include <vector>
 
@@ -22,8 +23,10 @@
 bool upstream_tracker::apply(const followed_batch& received, core::steady_time now)
 {
     if (!this->is_connected) {
-        this->is_connected = true;
-        this->hold_until = now + registration_time;
+        this->set_connected(received.connected_since.value_or(now));
+    }
+    else if (received.connected_since) {
+        this->hold_removals(*received.connected_since);
     }
     bool has_changed = false;
     std::set<std::string> seen;
@@ -67,6 +70,17 @@
     }
 }
 
+void upstream_tracker::set_connected(core::steady_time since)
+{
+    this->is_connected = true;
+    this->hold_removals(since);
+}
+
+void upstream_tracker::hold_removals(core::steady_time connected_since)
+{
+    this->hold_until = std::max(this->hold_until, connected_since + registration_time);
+}
+
 bool upstream_tracker::expire(core::steady_time now)
 {
     if (!this->is_connected) {
--- a/modules/gateway/control/upstream_tracker.h
+++ b/modules/gateway/control/upstream_tracker.h
@@ -33,9 +33,13 @@
     /** Applies a batch. Returns whether the table has changed. */
     bool apply(const followed_batch& received, core::steady_time now);
 
-    /** Records that a call failed: from now on entries may expire although their upstreams still run. */
+    /** Records that the object API is out of reach: from now on entries may expire although their
+     * upstreams still run. */
     void set_disconnected(core::steady_time now);
 
+    /** Records that the contact with the object API is uninterrupted since a time. */
+    void set_connected(core::steady_time since);
+
     /** Removes missing entries whose hold time is over. Returns whether the table has changed. */
     bool expire(core::steady_time now);
 
@@ -49,6 +53,7 @@
     };
 
     bool set(upstream entry);
+    void hold_removals(core::steady_time connected_since);
     bool remove(const std::string& id, core::steady_time now);
     bool drop(const std::string& id, std::string_view reason);
 
--- a/modules/gateway/exchange/blackboard.h
+++ b/modules/gateway/exchange/blackboard.h
@@ -5,6 +5,9 @@
 #include "gateway/model/upstream.h"
 #include "gateway/routes/route_table.h"
 
+#include <string>
+#include <vector>
+
 namespace samphireway::gateway {
 
 /**
@@ -16,6 +19,8 @@
     core::published<route_table> routes{nullptr};
     core::published<upstream_table> upstreams{nullptr};
     core::published<member_list> members{nullptr};
+    /** Ids of nodes that can reach the object API, the latest known first. @see contact_book */
+    core::published<std::vector<std::string>> in_contact{nullptr};
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/http/front_listener.cpp
+++ b/modules/gateway/http/front_listener.cpp
@@ -67,4 +67,12 @@
     }
 }
 
+void front_listener::close_all()
+{
+    const std::vector<std::shared_ptr<front_session>> open(this->sessions.begin(), this->sessions.end());
+    for (const std::shared_ptr<front_session>& session : open) {
+        session->close();
+    }
+}
+
 } // namespace samphireway::gateway
--- a/modules/gateway/http/front_listener.h
+++ b/modules/gateway/http/front_listener.h
@@ -19,6 +19,9 @@
     /** Closes connections that have no request in progress. New connections are still accepted. */
     void close_idle();
 
+    /** Closes all connections, which ends their requests. */
+    void close_all();
+
     /** Returns the number of open connections. */
     std::size_t open_connections() const noexcept
     {
--- a/modules/gateway/http/internal_server.cpp
+++ b/modules/gateway/http/internal_server.cpp
@@ -74,6 +74,9 @@
         this->response.version(11);
         this->response.result(result.status);
         this->response.set(http::field::content_type, result.content_type);
+        for (const auto& [name, value] : result.headers) {
+            this->response.set(name, value);
+        }
         this->response.body() = std::move(result.body);
         this->response.keep_alive(this->parser->get().keep_alive());
         this->response.prepare_payload();
--- a/modules/gateway/http/internal_server.h
+++ b/modules/gateway/http/internal_server.h
@@ -15,6 +15,7 @@
     unsigned status = 200;
     std::string body;
     std::string content_type = "text/plain";
+    header_list headers; ///< Further headers.
 };
 
 /** Handles a call. It must call `answer` exactly once, at once or later. */
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -4,12 +4,15 @@
 #include "gateway/budget/loan_client.h"
 #include "gateway/control/budget_supply.h"
 #include "gateway/control/fleet_view.h"
+#include "gateway/control/store_counters.h"
 #include "gateway/exchange/gateway_context.h"
 #include "gateway/http/front_listener.h"
 #include "gateway/http/internal_server.h"
 #include "gateway/process/internal_endpoints.h"
 #include "gateway/process/settings_watch.h"
+#include "gateway/relay/relay_client.h"
 
+#include <algorithm>
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -32,11 +35,13 @@
 constexpr milliseconds sweep_interval{500};
 // Requests that still run are aborted this long before the platform kills the process.
 constexpr milliseconds exit_margin{350};
+constexpr milliseconds call_report_interval{10000};
 constexpr milliseconds drain_check_interval{20};
+// Before it exits, a node ends the requests that still run, so that their use can be settled.
+constexpr milliseconds settle_margin{400};
 constexpr milliseconds registration_retry{500};
-// Nodes that are not ledger writers need not write deposits and close their earlier grants at once. They
-// spread these writes over this time.
-constexpr milliseconds maximum_deposit_delay{10000};
+// Time in which a ledger writer brings new deposits into the ledgers before the next one looks.
+constexpr milliseconds writer_interval{150};
 
 tcp::endpoint make_endpoint(const settings::endpoint_text& text)
 {
@@ -49,7 +54,7 @@
 class gateway_node::implementation {
 public:
     explicit implementation(gateway_node_options options_to_use)
-        : options(std::move(options_to_use)),
+        : options(std::move(options_to_use)), store(this->store_calls.count(this->options.store)),
           context{.io = this->io,
                   .availability_zone = this->options.settings.availability_zone,
                   .dialect = this->options.dialect,
@@ -57,8 +62,13 @@
                   .retries = traffic::retry_budget(
                       traffic::retry_budget_options{.earned_per_success = this->options.settings.retry.share,
                                                     .maximum = this->options.settings.retry.burst})},
-          supply(this->supply_options()), loans(this->io, this->loan_options()),
-          budget(this->supply.grant_pool(), this->budget_hooks()), endpoints(this->context, this->token),
+          supply(this->supply_options()), loans(this->io, this->loan_options()), relays(this->io),
+          budget(this->supply.grant_pool(), this->budget_hooks()),
+          endpoints(
+              this->context, this->token,
+              [this](const relay_poll& poll, std::function<void(core::result<encoded_reply>)> on_reply) {
+                  this->answer_poll(poll, std::move(on_reply));
+              }),
           front(this->context, make_endpoint(this->options.settings.listen.requesters)),
           probes(this->io, make_endpoint(this->options.settings.listen.probes),
                  this->endpoints.probe_handler()),
@@ -103,7 +113,7 @@
         return budget_supply_options{
             .node = this->options.settings.id,
             .holder = this->holder,
-            .store = this->options.store,
+            .store = this->store,
             .budget = this->options.settings.budget,
             .run_control = [this](std::function<void()> task) { this->control.post(std::move(task)); },
             .run_control_at =
@@ -117,17 +127,20 @@
 
     loan_client_options loan_options()
     {
-        return loan_client_options{
-            .node = this->options.settings.id, .borrower = this->holder, .members = [this] {
-                return this->context.board.members.read();
-            }};
+        return loan_client_options{.node = this->options.settings.id,
+                                   .borrower = this->holder,
+                                   .members = [this] { return this->context.board.members.read(); },
+                                   .in_contact =
+                                       [this] {
+                                           return this->context.board.in_contact.read();
+                                       }};
     }
 
     budget_access_hooks budget_hooks()
     {
         return budget_access_hooks{
-            .can_draw = [this] { return this->supply.can_draw(); },
-            .is_ledger_writer = [this] { return this->is_ledger_writer(); },
+            .can_draw = [this] { return this->supply.can_draw() && !this->is_supply_draining; },
+            .is_ledger_writer = [this] { return this->is_ledger_writer() && !this->is_supply_draining; },
             .borrow =
                 [this](const std::string& workspace, std::int64_t tokens,
                        std::function<void(core::result<loan>)> on_loan) {
@@ -158,9 +171,12 @@
         const member entry{.id = this->options.settings.id,
                            .address = address.address,
                            .port = address.port,
-                           .token = this->token};
+                           .token = this->token,
+                           .process = this->holder,
+                           .availability_zone = this->options.settings.availability_zone,
+                           .capacity = this->options.settings.cpu_share * this->options.settings.link_mbps};
         this->run_blocking([this, entry] {
-            const core::result<void> stored = store_member(this->options.store, entry);
+            const core::result<void> stored = store_member(this->store, entry);
             if (!stored) {
                 core::log_event(core::log_level::warning, "node_not_registered",
                                 {{"reason", stored.error().message}});
@@ -172,35 +188,96 @@
     fleet_view_options view_options()
     {
         return fleet_view_options{
-            .store = this->options.store,
+            .store = this->store,
             .configuration_key = this->options.configuration_key,
             .upstreams_prefix = this->options.upstreams_prefix,
             .read_configuration = this->options.read_configuration,
             .read_upstream = this->options.read_upstream,
             .watch_wait = this->options.settings.object_api.watch_wait,
             .maximum_ledger_writers = static_cast<std::size_t>(this->options.settings.budget.ledger_writers),
+            .relays = this->relay_options(),
+            .subscription = this->subscription_options(),
             .board = this->context.board,
             .run_control = [this](std::function<void()> task) { this->control.post(std::move(task)); },
             .on_configuration =
-                [this](const gateway::configuration& next) {
-                    this->supply.set_deposits(prepaid_amounts(next), this->deposit_time());
-                },
+                [this](const gateway::configuration& next) { this->deposits.totals = prepaid_amounts(next); },
         };
     }
 
-    core::steady_time deposit_time()
+    relay_order_options relay_options() const
     {
-        const core::steady_time now = clock::now();
-        if (this->is_ledger_writer()) {
-            return now;
+        return relay_order_options{.node = this->options.settings.id,
+                                   .availability_zone = this->options.settings.availability_zone,
+                                   .relays_per_zone = this->options.settings.relays.per_zone,
+                                   .minimum_nodes =
+                                       static_cast<std::size_t>(this->options.settings.relays.minimum_nodes)};
+    }
+
+    relay_subscription_options subscription_options()
+    {
+        return relay_subscription_options{
+            .poll_wait = this->options.settings.relays.poll_wait,
+            .answer_timeout = this->options.settings.relays.answer_timeout,
+            .maximum_age = this->options.settings.relays.maximum_age,
+            .send = [this](const member& relay, const relay_poll& poll, core::steady_time deadline,
+                           std::function<void(core::result<relay_reply>)> on_reply) {
+                this->send_poll(relay, poll, deadline, std::move(on_reply));
+            }};
+    }
+
+    /** Sends a poll from the traffic thread and passes the decoded reply to the control thread. */
+    void send_poll(const member& relay, const relay_poll& poll, core::steady_time deadline,
+                   std::function<void(core::result<relay_reply>)> on_reply)
+    {
+        asio::post(this->io, [this, relay, poll, deadline, on_reply = std::move(on_reply)] {
+            this->relays.send(relay, poll, deadline,
+                              [this, on_reply](core::result<raw_relay_reply> received) {
+                                  this->control.post([on_reply, received = std::move(received)] {
+                                      on_reply(received ? parse_relay_reply(received->status, received->news)
+                                                        : tl::unexpected(received.error()));
+                                  });
+                              });
+        });
+    }
+
+    /** Passes another node's poll to the control thread and its reply back to the traffic thread. */
+    void answer_poll(const relay_poll& poll, std::function<void(core::result<encoded_reply>)> on_reply)
+    {
+        this->control.post([this, poll, on_reply = std::move(on_reply)] {
+            const auto reply = [this, on_reply](core::result<encoded_reply> outcome) {
+                asio::post(this->io, [on_reply, outcome = std::move(outcome)] { on_reply(outcome); });
+            };
+            const core::result<void> accepted = this->view.hub().poll(
+                poll, clock::now(), [reply](const encoded_reply& encoded) { reply(encoded); });
+            if (!accepted) {
+                reply(tl::unexpected(accepted.error()));
+            }
+        });
+    }
+
+    /** Brings the deposits of the configuration and the ends of processes into the ledgers. Only the nodes
+     * that draw do so, one after the other, so that mostly one of them writes. */
+    void update_deposits()
+    {
+        const std::shared_ptr<const member_list> known = this->context.board.members.read();
+        if (known == nullptr || this->deposits.totals.empty() || !this->is_ledger_writer()) {
+            return;
         }
-        return now + milliseconds(core::hash64(this->options.settings.id) %
-                                  static_cast<std::uint64_t>(maximum_deposit_delay.count()));
+        this->deposits.node = this->options.settings.id;
+        this->deposits.holder = this->holder;
+        this->deposits.ended_processes = known->ended_processes;
+        const auto rank =
+            std::find_if(known->ledger_writers.begin(), known->ledger_writers.end(),
+                         [this](const member& writer) { return writer.id == this->options.settings.id; });
+        this->supply.set_deposits(this->deposits,
+                                  clock::now() + writer_interval * (rank - known->ledger_writers.begin()));
     }
 
     void tick()
     {
-        this->view.expire(clock::now());
+        this->view.tick();
+        this->update_deposits();
+        this->log_store_calls();
         this->supply.tick(clock::now());
         if (this->settings_file.has_changed()) {
             this->reload();
@@ -209,6 +286,21 @@
         this->control.post_at(clock::now() + control_interval, [this] { this->tick(); });
     }
 
+    void log_store_calls()
+    {
+        const core::steady_time now = clock::now();
+        if (now < this->next_call_report) {
+            return;
+        }
+        this->next_call_report = now + call_report_interval;
+        std::string text;
+        for (const auto& [kind, count] : this->store_calls.read()) {
+            text += (text.empty() ? "" : ",") + kind.operation + "/" + kind.kind +
+                    (kind.is_answered ? ":" : "/failed:") + std::to_string(count);
+        }
+        core::log_event(core::log_level::info, "store_calls", {{"total", text}});
+    }
+
     void reload()
     {
         const core::result<settings::gateway_settings> read =
@@ -248,6 +340,10 @@
         core::log_event(core::log_level::info, "stopping",
                         {{"in_flight", this->context.counts.requests_in_flight},
                          {"connections", this->context.counts.requester_connections}});
+        // Grants go back at once, while the ledger can be reached; until the end requests borrow.
+        if (this->has_lender()) {
+            this->return_grants();
+        }
         this->check_drain();
     }
 
@@ -255,11 +351,14 @@
     {
         const core::steady_time now = clock::now();
         const bool is_idle = this->context.drain.refuses(now) && this->context.counts.requests_in_flight == 0;
-        if (is_idle && !this->is_supply_draining) {
-            this->is_supply_draining = true;
-            this->front.close_idle();
+        if (this->context.drain.refuses(now) && !this->is_supply_draining) {
+            this->return_grants();
+        }
+        const bool is_late = now >= this->exit_at - settle_margin;
+        if ((is_idle || is_late) && !this->is_budget_closed) {
+            this->is_budget_closed = true;
+            is_late ? this->front.close_all() : this->front.close_idle();
             this->budget.close();
-            this->supply.start_drain();
         }
         const bool is_finished = is_idle && this->supply.is_drained() && !this->loans.is_reporting();
         if (is_finished || now >= this->exit_at) {
@@ -277,6 +376,21 @@
         });
     }
 
+    void return_grants()
+    {
+        this->is_supply_draining = true;
+        this->supply.start_drain();
+    }
+
+    /** Returns whether another node could lend budget to this one. */
+    bool has_lender() const
+    {
+        const std::shared_ptr<const member_list> known = this->context.board.members.read();
+        return known != nullptr &&
+               std::any_of(known->ledger_writers.begin(), known->ledger_writers.end(),
+                           [this](const member& writer) { return writer.id != this->options.settings.id; });
+    }
+
     void sweep()
     {
         const std::shared_ptr<const upstream_table> known = this->context.board.upstreams.read();
@@ -313,6 +427,8 @@
     }
 
     const gateway_node_options options;
+    store_counters store_calls;
+    const platform::object_store store;
     asio::io_context io{1};
     gateway_context context;
     core::event_loop control;
@@ -321,6 +437,7 @@
     const std::string holder = this->options.settings.id + "." + core::random_identifier();
     budget_supply supply;
     loan_client loans;
+    relay_client relays;
     budget_access budget;
     internal_endpoints endpoints;
     front_listener front;
@@ -332,7 +449,10 @@
     asio::steady_timer drain_timer;
     core::steady_time exit_at;
     bool is_supply_draining = false;
+    bool is_budget_closed = false;
     settings_watch settings_file; ///< Control thread only.
+    deposit_update deposits;      ///< Control thread only.
+    core::steady_time next_call_report;
     fleet_view view;
 };
 
--- a/modules/gateway/process/internal_endpoints.cpp
+++ b/modules/gateway/process/internal_endpoints.cpp
@@ -3,6 +3,8 @@
 #include "gateway/budget/loan_messages.h"
 #include "gateway/process/gateway_metrics.h"
 
+#include <map>
+
 namespace samphireway::gateway {
 
 namespace {
@@ -16,8 +18,9 @@
 
 } // namespace
 
-internal_endpoints::internal_endpoints(const gateway_context& context_to_use, std::string token_to_use)
-    : context(context_to_use), token(std::move(token_to_use))
+internal_endpoints::internal_endpoints(const gateway_context& context_to_use, std::string token_to_use,
+                                       poll_handler on_poll_to_use)
+    : context(context_to_use), token(std::move(token_to_use)), on_poll(std::move(on_poll_to_use))
 {
 }
 
@@ -39,8 +42,13 @@
             answer(this->metrics_response());
             return;
         }
-        const bool is_loan = request.target == loan_path;
-        if (request.method != "POST" || (!is_loan && request.target != loan_report_path)) {
+        const std::map<std::string,
+                       void (internal_endpoints::*)(const request_message&, const answer_handler&) const>
+            calls{{loan_path, &internal_endpoints::lend},
+                  {loan_report_path, &internal_endpoints::apply_report},
+                  {relay_path, &internal_endpoints::answer_poll}};
+        const auto call = calls.find(request.target);
+        if (request.method != "POST" || call == calls.end()) {
             answer(internal_response{.status = status_not_found});
             return;
         }
@@ -48,11 +56,7 @@
             answer(internal_response{.status = status_unauthorized});
             return;
         }
-        if (is_loan) {
-            this->lend(request, answer);
-            return;
-        }
-        this->apply_report(request, answer);
+        (this->*call->second)(request, answer);
     };
 }
 
@@ -85,17 +89,39 @@
         return;
     }
     this->context.budget.lend(
-        *call, std::chrono::steady_clock::now(), [answer, call = *call](const core::result<void>& lent) {
+        *call, std::chrono::steady_clock::now(),
+        [this, answer, call = *call](const core::result<void>& lent) {
             const int status = lent ? static_cast<int>(status_ok) : core::http_status(lent.error().code);
             core::log_event(lent ? core::log_level::debug : core::log_level::info, "loan",
                             {{"borrower", call.borrower},
                              {"workspace", call.workspace},
                              {"tokens", call.tokens},
                              {"status", status}});
-            answer(internal_response{.status = static_cast<unsigned>(status)});
+            const bool has_contact = this->context.budget.can_draw();
+            answer(internal_response{.status = static_cast<unsigned>(status),
+                                     .headers = {{ledger_contact_header, has_contact ? "yes" : "no"}}});
         });
 }
 
+void internal_endpoints::answer_poll(const request_message& request, const answer_handler& answer) const
+{
+    const core::result<relay_poll> poll = parse_relay_poll(request.body);
+    if (!poll) {
+        answer(internal_response{.status = status_bad_request, .body = poll.error().message});
+        return;
+    }
+    this->on_poll(*poll, [answer](core::result<encoded_reply> reply) {
+        if (!reply) {
+            answer(internal_response{.status = static_cast<unsigned>(core::http_status(reply.error().code)),
+                                     .body = reply.error().message});
+            return;
+        }
+        answer(internal_response{.body = std::move(reply->news),
+                                 .content_type = "application/octet-stream",
+                                 .headers = {{relay_status_header, std::move(reply->status)}}});
+    });
+}
+
 void internal_endpoints::apply_report(const request_message& request, const answer_handler& answer) const
 {
     const core::result<loan_report> report = parse_loan_report(request.body);
--- a/modules/gateway/process/internal_endpoints.h
+++ b/modules/gateway/process/internal_endpoints.h
@@ -2,6 +2,7 @@
 
 #include "gateway/exchange/gateway_context.h"
 #include "gateway/http/internal_server.h"
+#include "gateway/relay/relay_hub.h"
 
 #include <functional>
 #include <string>
@@ -9,8 +10,8 @@
 namespace samphireway::gateway {
 
 /**
-    Answers the platform's readiness probes, requests for metrics, and loan calls and loan reports of
-    other nodes.
+    Answers the platform's readiness probes, requests for metrics, and loan calls, loan reports and polls
+    of other nodes.
 
     Other nodes authenticate with this process's token, which they read from its registration. Traffic
     thread only.
@@ -19,12 +20,17 @@
 */
 class internal_endpoints {
 public:
-    internal_endpoints(const gateway_context& context_to_use, std::string token_to_use);
+    /** Answers a poll of another node, at once or later, on the traffic thread. */
+    using poll_handler =
+        std::function<void(const relay_poll& poll, std::function<void(core::result<encoded_reply>)> on_reply)>;
+
+    internal_endpoints(const gateway_context& context_to_use, std::string token_to_use,
+                       poll_handler on_poll_to_use);
 
     /** Returns the handler for requests to the probe address: readiness and metrics. */
     internal_handler probe_handler() const;
 
-    /** Returns the handler for requests to the internal address: loans, loan reports and metrics. */
+    /** Returns the handler for requests to the internal address: loans, loan reports, polls and metrics. */
     internal_handler node_handler() const;
 
 private:
@@ -36,8 +42,11 @@
     void lend(const request_message& request, const answer_handler& answer) const;
     void apply_report(const request_message& request, const answer_handler& answer) const;
 
+    void answer_poll(const request_message& request, const answer_handler& answer) const;
+
     const gateway_context& context;
     const std::string token;
+    const poll_handler on_poll;
 };
 
 } // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/relay/object_feed.cpp
@@ -0,0 +1,94 @@
+#include "gateway/relay/object_feed.h"
+
+namespace samphireway::gateway {
+
+namespace {
+
+// A node that lacks more removals than these is sent all objects, which costs about as much.
+constexpr std::size_t maximum_removals = 512;
+
+} // namespace
+
+bool object_feed::accept(const followed_batch& received)
+{
+    const platform::object_version next = received.batch.revision;
+    if (this->held_revision && next <= *this->held_revision) {
+        return false;
+    }
+    const bool leaves_gap =
+        !received.is_full_list && (!this->held_revision || received.after > *this->held_revision);
+    if (leaves_gap) {
+        return false;
+    }
+    if (received.is_full_list) {
+        this->replace_all(received);
+    }
+    else {
+        this->apply_changes(received);
+    }
+    this->held_revision = next;
+    return true;
+}
+
+void object_feed::replace_all(const followed_batch& received)
+{
+    this->objects.clear();
+    for (const platform::object& changed : received.batch.changed) {
+        if (!changed.value.isNull()) {
+            this->objects[changed.key] = changed;
+        }
+    }
+    this->removals.clear();
+    this->complete_since = received.batch.revision;
+    this->last_change = received.batch.revision;
+}
+
+void object_feed::apply_changes(const followed_batch& received)
+{
+    for (const platform::object& changed : received.batch.changed) {
+        if (changed.value.isNull()) {
+            this->objects.erase(changed.key);
+            this->removals.push_back({.revision = received.batch.revision, .key = changed.key});
+        }
+        else {
+            this->objects[changed.key] = changed;
+        }
+        this->last_change = received.batch.revision;
+    }
+    while (this->removals.size() > maximum_removals) {
+        this->complete_since = this->removals.front().revision;
+        this->removals.pop_front();
+    }
+}
+
+std::optional<followed_batch> object_feed::changes_since(std::optional<platform::object_version> known) const
+{
+    if (!this->has_changed_since(known)) {
+        return std::nullopt;
+    }
+    followed_batch result{.batch = {.revision = *this->held_revision, .changed = {}},
+                          .is_full_list = !known || *known < this->complete_since,
+                          .after = known.value_or(0)};
+    if (!result.is_full_list) {
+        for (const removal& removed : this->removals) {
+            if (removed.revision > *known && !this->objects.contains(removed.key)) {
+                result.batch.changed.push_back({.key = removed.key, .version = removed.revision});
+            }
+        }
+    }
+    for (const auto& [key, object] : this->objects) {
+        if (result.is_full_list || object.version > *known) {
+            result.batch.changed.push_back(object);
+        }
+    }
+    return result;
+}
+
+void object_feed::record_contact(const store_contact& seen)
+{
+    if (!this->last_contact || seen.answered_at > this->last_contact->answered_at) {
+        this->last_contact = seen;
+    }
+}
+
+} // namespace samphireway::gateway
--- /dev/null
+++ b/modules/gateway/relay/object_feed.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "gateway/control/object_follower.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace samphireway::gateway {
+
+/** Until when knowledge of the object API is current. @see object_feed */
+struct store_contact {
+    core::steady_time answered_at;     ///< Latest time at which the object API is known to have answered.
+    core::steady_time connected_since; ///< Start of the uninterrupted contact until then.
+};
+
+/**
+    The objects of one kind as of one revision of the object API, from whoever sent them.
+
+    The revision never falls: a batch that is not newer, or that leaves out changes, is ignored. The
+    removals since an earlier revision are kept, so that another node can be sent only what it lacks.
+    Control thread only.
+
+    @see relay_hub, relay_subscription
+*/
+class object_feed {
+public:
+    /** Takes over a batch. Returns whether it raised the revision. */
+    bool accept(const followed_batch& received);
+
+    /** Returns the revision of the objects, or nothing before the first batch. */
+    std::optional<platform::object_version> revision() const noexcept
+    {
+        return this->held_revision;
+    }
+
+    /** Returns whether an object has changed since a revision that another node knows. */
+    bool has_changed_since(std::optional<platform::object_version> known) const noexcept
+    {
+        return this->held_revision && (!known || *known < this->last_change);
+    }
+
+    /** Returns what a node that knows a revision lacks, or nothing if no object has changed since. A node
+     * that knows nothing, or a revision from before the removals kept, gets all objects. */
+    std::optional<followed_batch> changes_since(std::optional<platform::object_version> known) const;
+
+    /** Records a contact with the object API; an older one than known is ignored. */
+    void record_contact(const store_contact& seen);
+
+    /** Returns the latest known contact, or nothing before the first. */
+    const std::optional<store_contact>& contact() const noexcept
+    {
+        return this->last_contact;
+    }
+
+private:
+    struct removal {
+        platform::object_version revision = 0; ///< Revision at or before which the object was removed.
+        std::string key;
+    };
+
+    void replace_all(const followed_batch& received);
+    void apply_changes(const followed_batch& received);
+
+    std::map<std::string, platform::object> objects;
+    std::deque<removal> removals;                ///< By rising revision.
+    platform::object_version complete_since = 0; ///< All removals after this revision are kept.
+    platform::object_version last_change = 0;    ///< Revision of the newest batch with changes.
+    std::optional<platform::object_version> held_revision;
+    std::optional<store_contact> last_contact;
+};
+
+} // namespace samphireway::gateway
--- a/modules/settings/gateway/gateway_settings.cpp
+++ b/modules/settings/gateway/gateway_settings.cpp
@@ -61,6 +61,24 @@
     return result;
 }
 
+gateway_relay_settings read_relays(settings_reader reader)
+{
+    gateway_relay_settings result;
+    result.per_zone = static_cast<int>(
+        reader.integer("per_zone", {.minimum = 1, .maximum = 16, .fallback = result.per_zone}));
+    result.minimum_nodes = static_cast<int>(reader.integer(
+        "minimum_nodes", {.minimum = 2, .maximum = 1000000, .fallback = result.minimum_nodes}));
+    result.poll_wait = reader.milliseconds("poll_wait_ms", time_bounds(result.poll_wait));
+    result.answer_timeout = reader.milliseconds("answer_timeout_ms", time_bounds(result.answer_timeout));
+    result.maximum_age = reader.milliseconds("maximum_age_ms", time_bounds(result.maximum_age));
+    if (result.maximum_age <= result.poll_wait + result.answer_timeout) {
+        reader.add_fault("maximum_age_ms", std::to_string(result.maximum_age.count()),
+                         "more than poll_wait_ms and answer_timeout_ms together");
+    }
+    reader.report_unknown_keys();
+    return result;
+}
+
 gateway_retry_settings read_retry(settings_reader reader)
 {
     constexpr double percent = 100;
@@ -99,10 +117,14 @@
     settings_reader node(root.object("node"), "node", faults);
     result.settings.id = node.required_string("id");
     result.settings.availability_zone = node.required_string("availability_zone");
+    result.settings.cpu_share =
+        node.number("cpu_share", {.minimum = 0.001, .maximum = 1024, .fallback = 0.25});
+    result.settings.link_mbps = node.number("link_mbps", {.minimum = 0.1, .maximum = 1e6, .fallback = 1000});
     node.report_unknown_keys();
     result.settings.listen = read_listen({root.object("listen"), "listen", faults});
     result.settings.object_api = read_object_api({root.object("object_api"), "object_api", faults});
     result.settings.budget = read_budget({root.object("budget"), "budget", faults});
+    result.settings.relays = read_relays({root.object("relays"), "relays", faults});
     result.settings.retry = read_retry({root.object("retry"), "retry", faults});
     result.settings.stop = read_stop({root.object("stop"), "stop", faults});
     const std::string level = root.string("log_level", "info");
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -39,12 +39,25 @@
         shrinks further once less than 0.4 of the budget is left. */
     int held_sixteenths = 8;
     /** Maximum number of nodes that draw from the ledgers; the other nodes borrow from these. With
-        eight nodes that settle once a second, few updates of a ledger conflict. */
-    int ledger_writers = 8;
+        few nodes that settle once a second, few updates of a ledger conflict. */
+    int ledger_writers = 4;
     /** Smallest number of tokens drawn at once: fewer do not justify a write to the ledger. */
     std::int64_t minimum_draw_tokens = 12000;
 };
 
+/** How the nodes of a large fleet learn what the object API holds. @see gateway::order_relays */
+struct gateway_relay_settings {
+    int per_zone = 1; ///< Nodes of an availability zone that watch the object API for the others.
+    /** In a smaller fleet each node watches the object API itself, which takes no more calls. */
+    int minimum_nodes = 16;
+    /** Longest wait of a poll. A silent relay is left this long after its last answer at the latest. */
+    std::chrono::milliseconds poll_wait{400};
+    std::chrono::milliseconds answer_timeout{300}; ///< Time for a relay's answer after the wait.
+    /** Age of a relay's knowledge beyond which its nodes leave it. Longer than the relay's own watch call
+        and a poll together, and short enough to learn of a configuration elsewhere in time. */
+    std::chrono::milliseconds maximum_age{1600};
+};
+
 /** Limits on retries of requests at another upstream. @see traffic::retry_budget */
 struct gateway_retry_settings {
     double share = 0.1; ///< Retries earned per success of an upstream.
@@ -64,9 +77,12 @@
 struct gateway_settings {
     std::string id;
     std::string availability_zone;
+    double cpu_share = 0.25; ///< Cores that the VM gives the node.
+    double link_mbps = 1000; ///< Bandwidth of the VM's link.
     gateway_listen_settings listen;
     object_api_settings object_api;
     gateway_budget_settings budget;
+    gateway_relay_settings relays;
     gateway_retry_settings retry;
     gateway_stop_settings stop;
     core::log_level log_level = core::log_level::info;
--- a/modules/settings/reader/settings_reader.cpp
+++ b/modules/settings/reader/settings_reader.cpp
@@ -86,6 +86,23 @@
     return value.asInt64();
 }
 
+double settings_reader::number(const std::string& name, const number_bounds& bounds)
+{
+    const Json::Value& value = this->read_member(name);
+    if (value.isNull()) {
+        return bounds.fallback;
+    }
+    const bool is_in_bounds =
+        value.isNumeric() && value.asDouble() >= bounds.minimum && value.asDouble() <= bounds.maximum;
+    if (!is_in_bounds) {
+        this->add_fault(name, describe_value(value),
+                        "a number from " + std::to_string(bounds.minimum) + " to " +
+                            std::to_string(bounds.maximum));
+        return bounds.fallback;
+    }
+    return value.asDouble();
+}
+
 std::chrono::milliseconds settings_reader::milliseconds(const std::string& name, const integer_bounds& bounds)
 {
     return std::chrono::milliseconds(this->integer(name, bounds));
--- a/modules/settings/reader/settings_reader.h
+++ b/modules/settings/reader/settings_reader.h
@@ -22,6 +22,13 @@
     std::int64_t fallback = 0; ///< Used when the setting is absent or invalid.
 };
 
+/** Bounds, both inclusive, and default of a numeric setting. @see settings_reader::number */
+struct number_bounds {
+    double minimum = 0;
+    double maximum = 0;
+    double fallback = 0; ///< Used when the setting is absent or invalid.
+};
+
 /**
     Reads one object of a settings file and collects every fault in it.
 
@@ -45,6 +52,9 @@
     /** Reads an integer within bounds, or returns the fallback when it is absent. */
     std::int64_t integer(const std::string& name, const integer_bounds& bounds);
 
+    /** Reads a number within bounds, or returns the fallback when it is absent. */
+    double number(const std::string& name, const number_bounds& bounds);
+
     /** Reads a duration as an integer in milliseconds; by convention, the key ends in `_ms`. */
     std::chrono::milliseconds milliseconds(const std::string& name, const integer_bounds& bounds);
 
