Keep a poll alive in the call that ends it

Cause: the linter rejects a copy that is never changed; the copy is needed, since closing the connection destroys the hook that holds the poll. Change: the copy is made in the argument. No change of behaviour; linter clean.

--- a/modules/gateway/relay/relay_client.cpp
+++ b/modules/gateway/relay/relay_client.cpp
@@ -53,9 +53,9 @@
         .on_body =
             [this, started](std::string_view bytes) {
                 if (started->reply.news.size() + bytes.size() > maximum_reply_bytes) {
-                    // Closing the connection destroys this hook with the pointer that it holds.
-                    const std::shared_ptr<call> kept(started);
-                    this->end(kept, core::failure(core::error_code::upstream_failed, "reply too large"));
+                    // The copy outlives this hook, which is destroyed with the connection's other hooks.
+                    this->end(std::shared_ptr<call>(started),
+                              core::failure(core::error_code::upstream_failed, "reply too large"));
                     return;
                 }
                 started->reply.news += bytes;
