Log on what evidence a version is judged good

A version that was completed although a part of its answers was bad left no line with the counts, so a wrong verdict could not be told from a right one on thin evidence; a write of the state that failed had no reason.

rollout_judged now also tells a good verdict, with failures and latency of both versions by route, the requests and upstreams behind them and the highest rate of failures that they do not exclude. rollout_state_not_stored gives its reason.

--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -191,16 +191,14 @@
                 },
             .write =
                 [this](const rollout_order& order, rollout_state next,
-                       const std::function<void(bool)>& on_done) {
+                       const std::function<void(const core::result<platform::put_outcome>&)>& on_done) {
                     const bool is_started = this->run_blocking([this, order, next, on_done] {
                         const core::result<platform::put_outcome> outcome =
                             this->options.write_rollout(order, next);
-                        asio::post(this->io, [on_done, is_stored = outcome && outcome->applied] {
-                            on_done(is_stored);
-                        });
+                        asio::post(this->io, [on_done, outcome] { on_done(outcome); });
                     });
                     if (!is_started) {
-                        on_done(false);
+                        on_done(core::failure(core::error_code::overloaded, "no worker thread is free"));
                     }
                 }};
     }
--- a/modules/gateway/rollout/rollout_controller.cpp
+++ b/modules/gateway/rollout/rollout_controller.cpp
@@ -4,6 +4,7 @@
 #include "gateway/rollout/version_judge.h"
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace samphireway::gateway {
@@ -42,6 +43,32 @@
 // stricter.
 constexpr double final_error_rate = 0.02;
 
+// The log states the highest rate of failures that the outcomes do not exclude with this probability of
+// error.
+constexpr double stated_error_rate = 0.05;
+
+void log_write(const rollout_order& order, rollout_state state,
+               const core::result<platform::put_outcome>& outcome)
+{
+    if (outcome && outcome->applied) {
+        core::log_event(core::log_level::info, "rollout_state_stored",
+                        {{"service", order.service},
+                         {"target", order.target},
+                         {"state", to_string(state)},
+                         {"revision", static_cast<long long>(order.revision)}});
+        return;
+    }
+    const std::string reason = !outcome           ? outcome.error().message
+                               : outcome->current ? "the order has changed"
+                                                  : "the order is gone";
+    core::log_event(core::log_level::warning, "rollout_state_not_stored",
+                    {{"service", order.service},
+                     {"target", order.target},
+                     {"state", to_string(state)},
+                     {"revision", static_cast<long long>(order.revision)},
+                     {"reason", reason}});
+}
+
 } // namespace
 
 rollout_controller::rollout_controller(rollout_controller_options options_to_use)
@@ -207,14 +234,21 @@
         return;
     }
     rollout.is_suspected = false;
-    if (fault) {
-        rollout.is_bad = true;
-        core::log_event(core::log_level::warning, "rollout_judged",
+    const bool is_final_look = error_rate == final_error_rate;
+    if (fault || is_final_look) {
+        rollout.is_bad = fault.has_value();
+        const version_outcomes seen = count_outcomes(joint);
+        core::log_event(rollout.is_bad ? core::log_level::warning : core::log_level::info, "rollout_judged",
                         {{"service", rollout.known.order.service},
                          {"target", rollout.known.order.target},
-                         {"verdict", "bad"},
-                         {"fault", to_string(*fault)},
-                         {"look", error_rate == final_error_rate ? "final" : "observing"},
+                         {"verdict", rollout.is_bad ? "bad" : "good"},
+                         {"fault", fault ? to_string(*fault) : "none"},
+                         {"look", is_final_look ? "final" : "observing"},
+                         {"routes", describe_routes(joint)},
+                         {"target_requests", static_cast<long long>(seen.target.total)},
+                         {"target_upstreams", static_cast<long long>(seen.target_upstreams)},
+                         {"possible_failures_permille",
+                          std::llround(1000 * moves::upper_limit(seen.target, stated_error_rate))},
                          {"processes", static_cast<long long>(rollout.reports.size() + 1)},
                          {"age_ms", static_cast<long long>(this->age_of(rollout, now).count())}});
     }
@@ -365,18 +399,14 @@
     rollout.is_writing = true;
     rollout.next_write = now + write_retry_interval;
     const rollout_order& order = rollout.known.order;
-    this->options.write(order, *next, [this, order, state = *next](bool is_stored) {
-        core::log_event(is_stored ? core::log_level::info : core::log_level::warning,
-                        is_stored ? "rollout_state_stored" : "rollout_state_not_stored",
-                        {{"service", order.service},
-                         {"target", order.target},
-                         {"state", to_string(state)},
-                         {"revision", static_cast<long long>(order.revision)}});
-        const auto found = this->rollouts.find(order.service);
-        if (found != this->rollouts.end()) {
-            found->second.is_writing = false;
-        }
-    });
+    this->options.write(order, *next,
+                        [this, order, state = *next](const core::result<platform::put_outcome>& outcome) {
+                            log_write(order, state, outcome);
+                            const auto found = this->rollouts.find(order.service);
+                            if (found != this->rollouts.end()) {
+                                found->second.is_writing = false;
+                            }
+                        });
 }
 
 bool rollout_controller::is_informed() const
--- a/modules/gateway/rollout/rollout_controller.h
+++ b/modules/gateway/rollout/rollout_controller.h
@@ -31,7 +31,8 @@
                        std::function<void(core::result<rollout_answer>)> on_answer)>
         send;
     /** Stores the state of an order on another thread, then calls the handler on this thread. */
-    std::function<void(const rollout_order& order, rollout_state next, std::function<void(bool)> on_done)>
+    std::function<void(const rollout_order& order, rollout_state next,
+                       std::function<void(const core::result<platform::put_outcome>&)> on_done)>
         write;
     core::clock time = {};
 };
--- a/modules/gateway/rollout/version_judge.cpp
+++ b/modules/gateway/rollout/version_judge.cpp
@@ -1,6 +1,8 @@
 #include "gateway/rollout/version_judge.h"
 
 #include <algorithm>
+#include <cmath>
+#include <utility>
 #include <vector>
 
 namespace samphireway::gateway {
@@ -27,6 +29,31 @@
     }
 };
 
+// Routes that one log line describes.
+constexpr std::size_t described_routes = 4;
+
+std::string to_text(const moves::proportion& value)
+{
+    return std::to_string(value.faults) + "/" + std::to_string(value.total);
+}
+
+/** Returns the upper limit in milliseconds of the bucket that holds the ninth decile. */
+long long ninth_decile_ms(const moves::histogram& values)
+{
+    const std::uint64_t above = values.count_from(0) / 10;
+    std::size_t index = moves::histogram::buckets - 1;
+    while (index > 0 && values.count_from(index) <= above) {
+        --index;
+    }
+    return std::llround(std::pow(2.0, static_cast<double>(index) / 2));
+}
+
+std::string describe(const moves::summary& outcomes)
+{
+    return to_text({.faults = outcomes.errors, .total = outcomes.requests}) + " p90 " +
+           std::to_string(ninth_decile_ms(outcomes.first_token)) + " ms";
+}
+
 std::vector<signal> make_signals()
 {
     std::vector<signal> signals{{.name = "errors"}};
@@ -51,11 +78,42 @@
 
 std::string to_string(const version_fault& fault)
 {
-    const auto part = [](const moves::proportion& value) {
-        return std::to_string(value.faults) + "/" + std::to_string(value.total);
-    };
     return fault.signal + " on " + (fault.route.empty() ? "all routes" : fault.route) + ": target " +
-           part(fault.target) + ", stable " + part(fault.stable);
+           to_text(fault.target) + ", stable " + to_text(fault.stable);
+}
+
+version_outcomes count_outcomes(const version_evidence& evidence)
+{
+    version_outcomes result;
+    const auto all = evidence.routes.find(version_evidence::all_routes);
+    if (all != evidence.routes.end()) {
+        const moves::summary target = all->second.target_without("");
+        result.stable = {.faults = all->second.stable.errors, .total = all->second.stable.requests};
+        result.target = {.faults = target.errors, .total = target.requests};
+        result.target_upstreams = all->second.target.size();
+    }
+    return result;
+}
+
+std::string describe_routes(const version_evidence& evidence)
+{
+    std::vector<std::pair<std::string, moves::summary>> routes;
+    for (const auto& [route, outcomes] : evidence.routes) {
+        if (route != version_evidence::all_routes) {
+            routes.emplace_back(route, outcomes.target_without(""));
+        }
+    }
+    std::sort(routes.begin(), routes.end(), [](const auto& left, const auto& right) {
+        return left.second.requests > right.second.requests;
+    });
+    routes.resize(std::min(routes.size(), described_routes));
+    std::string text;
+    for (const auto& [route, target] : routes) {
+        const moves::summary& stable = evidence.routes.at(route).stable;
+        text += (text.empty() ? "" : "; ") + route + ": target " + describe(target) + ", stable " +
+                describe(stable);
+    }
+    return text;
 }
 
 std::optional<version_fault> find_fault(const version_evidence& evidence, double error_rate)
--- a/modules/gateway/rollout/version_judge.h
+++ b/modules/gateway/rollout/version_judge.h
@@ -3,6 +3,7 @@
 #include "gateway/rollout/version_evidence.h"
 #include "moves/evidence/sequential_test.h"
 
+#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -16,6 +17,19 @@
     moves::proportion target;
 };
 
+/** Failures among the requests of both versions. @see count_outcomes */
+struct version_outcomes {
+    moves::proportion stable;
+    moves::proportion target;
+    std::size_t target_upstreams = 0; ///< Upstreams of the target version that have served requests.
+};
+
+/** Returns the failures over all routes. */
+version_outcomes count_outcomes(const version_evidence& evidence);
+
+/** Returns failures and the ninth decile of the first output on the busiest routes, as text for logs. */
+std::string describe_routes(const version_evidence& evidence);
+
 /** Returns a fault as text for logs. */
 std::string to_string(const version_fault& fault);
 
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -237,7 +237,7 @@
                     },
                 .write =
                     [](const gateway::rollout_order&, gateway::rollout_state, const auto& on_done) {
-                        on_done(true);
+                        on_done(platform::put_outcome{.applied = true});
                     }};
     }
 
--- a/tests/gateway/rollout/rollout_fleet.cpp
+++ b/tests/gateway/rollout/rollout_fleet.cpp
@@ -94,7 +94,7 @@
                             this->publish(to, false);
                         }
                     }
-                    on_done(is_stored);
+                    on_done(platform::put_outcome{.applied = is_stored, .version = this->revision});
                 },
             .time = {.now = [this] { return core::wall_time(this->now().time_since_epoch()); },
                      .steady =
