--- a/tests/gateway/rollout/rollout_fleet.cpp
+++ b/tests/gateway/rollout/rollout_fleet.cpp
@@ -147,7 +147,9 @@
         (behaviour.faulty_route.empty() || behaviour.faulty_route == route) &&
         (behaviour.faulty_upstream < 0 || target->id == "v2-" + std::to_string(behaviour.faulty_upstream)) &&
         fraction(this->random) < behaviour.fault_share;
-    moves::sample observed{.is_error = fraction(this->random) < this->options.stable_fault_share};
+    moves::sample observed{.is_error = fraction(this->random) < (route == "replies"
+                                                                     ? this->options.replies_fault_share
+                                                                     : this->options.stable_fault_share)};
     double took = latency(this->random);
     if (is_faulty && behaviour.slow_factor > 0) {
         took *= behaviour.slow_factor;
--- a/tests/gateway/rollout/rollout_fleet.h
+++ b/tests/gateway/rollout/rollout_fleet.h
@@ -28,7 +28,8 @@
     double requests_per_second = 140;
     std::chrono::milliseconds duration{15000};
     version_behaviour target;
-    double stable_fault_share = 0.01; ///< Share of all versions' requests that fail.
+    double stable_fault_share = 0.01;  ///< Share of all versions' requests that fail.
+    double replies_fault_share = 0.01; ///< The same on the route `replies`, which has two fifths of them.
     unsigned seed = 1;
 };
 
