Check one choice of lenders instead of the ends of two

lender_book/node_without_contact_is_not_asked took the begin of one temporary list and the end of another, which is undefined: it passes with the sanitizers and fails in the release build (5 of 5).

--- a/tests/gateway/lender_book_test.cpp
+++ b/tests/gateway/lender_book_test.cpp
@@ -69,8 +69,8 @@
     const gateway::member_list fleet = make_fleet();
     gateway::lender_book book("n9");
     book.record_contact("n7", false, start);
-    cr_assert(std::all_of(book.choose(fleet, {"n7"}, workspace, start).lenders.begin(),
-                          book.choose(fleet, {"n7"}, workspace, start).lenders.end(), is_writer));
+    const auto choice = book.choose(fleet, {"n7"}, workspace, start);
+    cr_assert(std::all_of(choice.lenders.begin(), choice.lenders.end(), is_writer));
     book.record_contact("n7", true, start);
     cr_assert_eq(book.choose(fleet, {"n7"}, workspace, start).lenders.back().id, "n7");
 }
