Keep to the rates of requests that upstreams name

Cause: the header was not read, and a limit for all nodes together has to be divided among them.

Change: each node learns a limit from its own responses and sends one request in each of its slots, which follow one another by the order of the nodes and the time of day, without messages. Every send counts. An upstream at its limit is passed over; one with an open slot takes over from a busier one, long prompts first; what no upstream may take is refused at once with the time of the next slot.

--- a/modules/gateway/exchange/counters.h
+++ b/modules/gateway/exchange/counters.h
@@ -14,6 +14,7 @@
     std::map<std::string, std::int64_t> attempt_results; ///< Number of attempts at upstreams by result.
     std::int64_t retries = 0;
     std::int64_t resumed_streams = 0;
+    std::int64_t choices_limited = 0; ///< Times an upstream was passed over because of its limit.
     std::int64_t requests_in_flight = 0;
     std::int64_t requester_connections = 0;
     metrics::duration_histogram time_to_first_output; ///< Arrival to whole response or stream's first event.
--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -121,6 +121,7 @@
                       upstream_search{.service_name = this->resolved.service_name,
                                       .tried = this->tried_upstreams,
                                       .prefix = this->resolved.prefix,
+                                      .shared_tokens = this->resolved.shared_tokens,
                                       .selector = this->resolved.selector,
                                       .is_idempotent = is_idempotent(*this->resolved.matched_route),
                                       .versions = versions},
@@ -128,7 +129,7 @@
     if (target == nullptr) {
         const core::steady_time now = clock::now();
         const core::steady_time available =
-            find_pause_end(this->context, this->resolved.service_name, now).value_or(now);
+            find_next_capacity(this->context, this->resolved.service_name, now).value_or(now);
         this->refuse(
             core::error{.code = core::error_code::no_upstream,
                         .message = "no upstream of the service can take the request",
@@ -147,6 +148,7 @@
     this->body.clear();
     this->context.loads.begin(target->id);
     const core::steady_time now = clock::now();
+    this->context.limits.count(*target);
     this->attempt_started = now;
     this->attempt_first_output.reset();
     this->has_attempt_head = false;
@@ -213,6 +215,12 @@
     if (facts.pause) {
         this->context.notices.record_pause(*this->current_upstream, clock::now() + *facts.pause);
     }
+    if (facts.limit) {
+        this->context.limits.record(*this->current_upstream, *facts.limit);
+    }
+    else if (!facts.names_limit && received.status / 100 == 2) {
+        this->context.limits.record_none(*this->current_upstream);
+    }
     this->has_attempt_head = received.status / 100 == 2;
     if (!this->has_begun_stream) {
         this->head = received;
--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -8,6 +8,7 @@
 #include "gateway/http/upstream_pool.h"
 #include "gateway/model/header_dialect.h"
 #include "gateway/placement/load_tracker.h"
+#include "gateway/placement/upstream_limits.h"
 #include "gateway/placement/upstream_notices.h"
 #include "gateway/quarantine/answered_parts.h"
 #include "gateway/quarantine/crash_watch.h"
@@ -36,6 +37,7 @@
     rollout_controller& rollouts;
     crash_watch& crashes;
     answered_parts& answered;
+    upstream_limits& limits;
     traffic::retry_budget retries{traffic::retry_budget_options{}}; ///< Retry budgets by service.
 
     blackboard board = {};
--- a/modules/gateway/exchange/request_resolution.cpp
+++ b/modules/gateway/exchange/request_resolution.cpp
@@ -70,6 +70,7 @@
     found.prefix = hash_shared_parts(found.facts.prompt_parts);
     for (std::size_t index = 0; index + 1 < found.facts.prompt_parts.size(); ++index) {
         found.shared_prompt_parts.push_back(found.facts.prompt_parts[index].id);
+        found.shared_tokens += found.facts.prompt_parts[index].tokens;
     }
     return {};
 }
--- a/modules/gateway/exchange/upstream_choice.cpp
+++ b/modules/gateway/exchange/upstream_choice.cpp
@@ -42,8 +42,10 @@
         if (search.tried.contains(entry->id) || !context.notices.allows(*entry, now)) {
             continue;
         }
+        const bool is_at_limit = !context.limits.allows(*entry);
+        context.counts.choices_limited += is_at_limit ? 1 : 0;
         const bool is_ejected = context.health.is_ejected(entry->id);
-        const bool is_trial = is_ejected && search.is_idempotent &&
+        const bool is_trial = is_ejected && !is_at_limit && search.is_idempotent &&
                               context.health.check(entry->id, now) == routing::health_state::trial;
         if (is_trial) {
             return entry;
@@ -55,15 +57,33 @@
                                 .in_flight = load.in_flight,
                                 .is_same_zone = entry->availability_zone == context.availability_zone,
                                 .is_full = now < load.full_until,
-                                .is_ejected = is_ejected});
+                                .is_ejected = is_ejected,
+                                .has_limit = context.limits.has_limit(*entry),
+                                .is_at_limit = is_at_limit});
     }
     const std::optional<std::size_t> chosen =
-        choose_upstream(candidates, placement_request{.prefix = search.prefix, .selector = search.selector});
+        choose_upstream(candidates, placement_request{.prefix = search.prefix,
+                                                      .shared_tokens = search.shared_tokens,
+                                                      .selector = search.selector});
+    if (!chosen && search.versions && search.versions->is_target) {
+        // The few upstreams of a version under judgement may have reached their limits.
+        std::optional<version_choice> others = search.versions;
+        others->is_target = false;
+        return find_upstream(context,
+                             upstream_search{.service_name = search.service_name,
+                                             .tried = search.tried,
+                                             .prefix = search.prefix,
+                                             .shared_tokens = search.shared_tokens,
+                                             .selector = search.selector,
+                                             .is_idempotent = search.is_idempotent,
+                                             .versions = others},
+                             now);
+    }
     return chosen ? usable[*chosen] : nullptr;
 }
 
-std::optional<core::steady_time> find_pause_end(const gateway_context& context,
-                                                const std::string& service_name, core::steady_time now)
+std::optional<core::steady_time> find_next_capacity(const gateway_context& context,
+                                                    const std::string& service_name, core::steady_time now)
 {
     std::optional<core::steady_time> earliest;
     const std::shared_ptr<const upstream_table> table = context.board.upstreams.read();
@@ -71,8 +91,9 @@
         return earliest;
     }
     for (const std::shared_ptr<const upstream>& entry : table->by_service.at(service_name)) {
-        const std::optional<core::steady_time> end = context.notices.pause_end(*entry, now);
-        if (end && (!earliest || *end < *earliest)) {
+        const core::steady_time end =
+            std::max(context.notices.pause_end(*entry, now).value_or(now), context.limits.next_slot(*entry));
+        if (end > now && (!earliest || end < *earliest)) {
             earliest = end;
         }
     }
--- a/modules/gateway/model/messages.h
+++ b/modules/gateway/model/messages.h
@@ -81,6 +81,9 @@
     bool is_leaving = false;        ///< Whether the upstream is about to end and wants no further request.
     /** Time for which the upstream wants no request of this node. */
     std::optional<std::chrono::milliseconds> pause = std::nullopt;
+    bool names_limit = false; ///< Whether the response has a limit, legible or not.
+    /** Requests per second that the upstream takes from all nodes together. */
+    std::optional<double> limit = std::nullopt;
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/model/upstream.h
+++ b/modules/gateway/model/upstream.h
@@ -3,7 +3,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace samphireway::gateway {
@@ -28,4 +30,13 @@
     std::map<std::string, std::vector<std::shared_ptr<const upstream>>> by_service;
 };
 
+/** Id and start of an upstream: one run of its process. */
+using upstream_incarnation = std::pair<std::string, std::int64_t>;
+
+/** Returns the incarnation of an upstream. */
+upstream_incarnation incarnation_of(const upstream& entry);
+
+/** Returns the incarnations of all upstreams of a table. */
+std::set<upstream_incarnation> incarnations_of(const upstream_table& table);
+
 } // namespace samphireway::gateway
--- a/modules/gateway/placement/placement.cpp
+++ b/modules/gateway/placement/placement.cpp
@@ -15,7 +15,8 @@
     return core::hash64(core::to_hex(key) + id);
 }
 
-/** Returns the indices of the best candidates: healthy ones, else full ones, else ejected ones. */
+/** Returns the indices of the best candidates: healthy ones, else full ones, else ejected ones. Candidates at
+ * their limits do not count as such. */
 std::vector<std::size_t> best_group(const std::vector<placement_candidate>& candidates)
 {
     const auto rank = [](const placement_candidate& candidate) {
@@ -23,7 +24,7 @@
     };
     int best = 2;
     for (const placement_candidate& candidate : candidates) {
-        best = std::min(best, rank(candidate));
+        best = candidate.is_at_limit ? best : std::min(best, rank(candidate));
     }
     std::vector<std::size_t> group;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
@@ -50,10 +51,12 @@
 std::optional<std::size_t> choose_upstream(const std::vector<placement_candidate>& candidates,
                                            const placement_request& request, const placement_options& options)
 {
-    if (candidates.empty()) {
-        return std::nullopt;
-    }
     const std::vector<std::size_t> group = best_group(candidates);
+    std::vector<std::size_t> unlimited;
+    std::vector<std::size_t> limited;
+    for (const std::size_t index : group) {
+        (candidates[index].has_limit ? limited : unlimited).push_back(index);
+    }
     const int cap = request.prefix ? load_cap(candidates, group, options) : 0;
     const auto order = [&](std::size_t index) {
         const placement_candidate& candidate = candidates[index];
@@ -64,9 +67,22 @@
         return std::tuple(false, candidate.in_flight, !candidate.is_same_zone,
                           rendezvous_weight(request.selector, candidate.id));
     };
-    return *std::min_element(group.begin(), group.end(), [&order](std::size_t left, std::size_t right) {
-        return order(left) < order(right);
+    const auto best_of = [&order](const std::vector<std::size_t>& indices) {
+        const auto found =
+            std::min_element(indices.begin(), indices.end(), [&order](std::size_t left, std::size_t right) {
+                return order(left) < order(right);
+            });
+        return found == indices.end() ? std::nullopt : std::optional<std::size_t>(*found);
+    };
+    const std::optional<std::size_t> best = best_of(unlimited);
+    const bool is_light = request.prefix && request.shared_tokens < options.least_shared_tokens;
+    const int margin = is_light ? options.light_margin : 0;
+    std::erase_if(limited, [&](std::size_t index) {
+        const placement_candidate& candidate = candidates[index];
+        return candidate.is_at_limit || (best && candidate.in_flight + margin >= candidates[*best].in_flight);
     });
+    const std::optional<std::size_t> best_limited = best_of(limited);
+    return best_limited ? best_limited : best;
 }
 
 } // namespace samphireway::gateway
--- a/modules/gateway/placement/upstream_notices.h
+++ b/modules/gateway/placement/upstream_notices.h
@@ -6,8 +6,6 @@
 #include <chrono>
 #include <map>
 #include <optional>
-#include <string>
-#include <utility>
 
 namespace samphireway::gateway {
 
@@ -41,11 +39,8 @@
         bool is_leaving = false;
         core::steady_time paused_until;
     };
-    using incarnation = std::pair<std::string, std::int64_t>; ///< Id and start of an upstream.
 
-    static incarnation key_of(const upstream& target);
-
-    std::map<incarnation, notice> notices;
+    std::map<upstream_incarnation, notice> notices;
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/process/gateway_metrics.cpp
+++ b/modules/gateway/process/gateway_metrics.cpp
@@ -30,7 +30,7 @@
 
 std::string write_metrics(const counters& counts, const upstream_table& known,
                           std::uint64_t opened_connections, const routing::health_table& health,
-                          const rollout_controller& rollouts)
+                          const rollout_controller& rollouts, const upstream_limits& limits)
 {
     metrics::text_writer writer;
     writer.begin("samphireway_requests_total", "counter", "Ended requests by outcome.");
@@ -55,6 +55,11 @@
     writer.begin("samphireway_log_lines_dropped_total", "counter", "Log lines over the rate or the buffer.");
     writer.add({}, static_cast<std::int64_t>(core::dropped_log_lines()));
     write_upstreams(writer, known, health);
+    writer.begin("samphireway_limited_upstreams", "gauge", "Upstreams that name a limit of their rate.");
+    writer.add({}, static_cast<std::int64_t>(limits.size()));
+    writer.begin("samphireway_limited_choices_total", "counter",
+                 "Times an upstream was passed over because of its limit.");
+    writer.add({}, counts.choices_limited);
     writer.begin("samphireway_rollout_requests_total", "counter",
                  "Requests during a roll-out by service and version.");
     for (const auto& [service, count] : rollouts.counts()) {
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -68,11 +68,15 @@
                   .rollouts = this->rollouts,
                   .crashes = this->crashes,
                   .answered = this->answered,
+                  .limits = this->limits,
                   .retries = traffic::retry_budget(
                       traffic::retry_budget_options{.earned_per_success = this->options.settings.retry.share,
                                                     .maximum = this->options.settings.retry.burst})},
           supply(this->supply_options()), loans(this->io, this->loan_options()), relays(this->io),
           peers(this->io), rollouts(this->rollout_options()),
+          limits({.node = this->options.settings.id,
+                  .members = [this] { return this->context.board.members.read(); },
+                  .utilization = this->options.settings.upstream_limits.utilization}),
           crashes(this->io,
                   [this](const std::string& crash_id, const shared_parts& prompt) {
                       this->control.post(
@@ -505,6 +509,7 @@
         if (known != nullptr) {
             this->context.pool.sweep(*known, clock::now());
             this->context.notices.sweep(*known);
+            this->limits.sweep(*known);
         }
         this->budget.sweep(clock::now());
     }
@@ -543,6 +548,7 @@
     relay_client relays;
     peer_client peers;
     rollout_controller rollouts;
+    upstream_limits limits;
     answered_parts answered;
     crash_watch crashes;
     quarantine_book quarantine; ///< Control thread only.
--- a/modules/settings/gateway/gateway_settings.cpp
+++ b/modules/settings/gateway/gateway_settings.cpp
@@ -105,6 +105,15 @@
     return result;
 }
 
+gateway_limit_settings read_limits(settings_reader reader)
+{
+    gateway_limit_settings result;
+    result.utilization =
+        reader.number("utilization", {.minimum = 0.1, .maximum = 1, .fallback = result.utilization});
+    reader.report_unknown_keys();
+    return result;
+}
+
 gateway_stop_settings read_stop(settings_reader reader)
 {
     gateway_stop_settings result;
@@ -138,6 +147,8 @@
     result.settings.relays = read_relays({root.object("relays"), "relays", faults});
     result.settings.retry = read_retry({root.object("retry"), "retry", faults});
     result.settings.rollouts = read_rollouts({root.object("rollouts"), "rollouts", faults});
+    result.settings.upstream_limits =
+        read_limits({root.object("upstream_limits"), "upstream_limits", faults});
     result.settings.stop = read_stop({root.object("stop"), "stop", faults});
     const std::string level = root.string("log_level", "info");
     if (!core::parse_log_level(level, result.settings.log_level)) {
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -74,6 +74,11 @@
     std::chrono::milliseconds notice{3000};
 };
 
+/** Use of the rates of requests that upstreams name as their limits. @see gateway::upstream_limits */
+struct gateway_limit_settings {
+    double utilization = 1; ///< Part of a limit that the nodes use together.
+};
+
 /** Limits of roll-outs to another version of a service. @see gateway::canary_share */
 struct gateway_rollout_settings {
     double exposure_share = 0.1; ///< Share of a service's requests that a bad version may get in all.
@@ -92,6 +97,7 @@
     gateway_relay_settings relays;
     gateway_retry_settings retry;
     gateway_rollout_settings rollouts;
+    gateway_limit_settings upstream_limits;
     gateway_stop_settings stop;
     core::log_level log_level = core::log_level::info;
 };
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -212,7 +212,8 @@
                                                      .budget = this->budget,
                                                      .rollouts = this->rollouts,
                                                      .crashes = this->crashes,
-                                                     .answered = this->answered},
+                                                     .answered = this->answered,
+                                                     .limits = this->limits},
           ledger(budget::grant_pool::object_key(0))
     {
         const auto stored =
@@ -277,6 +278,9 @@
                                      this->crashed_prompts.push_back(prompt);
                                  }};
     gateway::answered_parts answered;
+    gateway::upstream_limits limits{{.node = "node", .members = [] {
+                                         return nullptr;
+                                     }}};
     gateway::gateway_context context;
     escrow::ledger_client ledger;
     std::list<std::unique_ptr<scripted_upstream>> upstreams;
--- a/tests/gateway/placement_test.cpp
+++ b/tests/gateway/placement_test.cpp
@@ -93,3 +93,51 @@
     loads.end("engine");
     cr_assert_eq(loads.read("engine").in_flight, 0);
 }
+
+// Guards against upstreams at their limits that get requests.
+Test(placement, upstream_at_its_limit_is_never_chosen)
+{
+    std::vector<placement_candidate> candidates = engines(2);
+    for (placement_candidate& candidate : candidates) {
+        candidate.has_limit = candidate.is_at_limit = true;
+    }
+    cr_assert_not(choose_upstream(candidates, {.selector = 1}).has_value());
+    candidates[1].is_at_limit = false;
+    cr_assert_eq(*choose_upstream(candidates, {.prefix = 5}), 1U);
+    candidates[1].is_ejected = true;
+    cr_assert_eq(*choose_upstream(candidates, {.prefix = 5}), 1U);
+    candidates.push_back({.id = "free", .in_flight = 50});
+    candidates[1] = {.id = "open", .has_limit = true, .is_at_limit = true};
+    cr_assert_eq(*choose_upstream(candidates, {.prefix = 5, .shared_tokens = 5000}), 2U);
+}
+
+// Guards against short prompts that use up the limits of upstreams while long ones overload the others.
+Test(placement, long_prompts_use_limited_upstreams_first)
+{
+    std::vector<placement_candidate> candidates = engines(4);
+    candidates[0].has_limit = true;
+    for (std::size_t index = 1; index < 4; ++index) {
+        candidates[index].in_flight = 2;
+    }
+    cr_assert_eq(*choose_upstream(candidates, {.prefix = 1, .shared_tokens = 6000}), 0U);
+    cr_assert_neq(*choose_upstream(candidates, {.prefix = 1, .shared_tokens = 200}), 0U);
+    for (std::size_t index = 1; index < 4; ++index) {
+        candidates[index].in_flight = 3;
+    }
+    cr_assert_eq(*choose_upstream(candidates, {.prefix = 1, .shared_tokens = 200}), 0U);
+}
+
+// Guards against an upstream with a limit that is used while one without is as idle.
+Test(placement, upstream_with_a_limit_takes_over_from_busier_ones_only)
+{
+    std::vector<placement_candidate> candidates = engines(4);
+    candidates[0].has_limit = true;
+    for (std::uint64_t selector = 0; selector < 50; ++selector) {
+        cr_assert_neq(*choose_upstream(candidates, {.selector = selector}), 0U);
+    }
+    for (std::size_t index = 1; index < 4; ++index) {
+        candidates[index].in_flight = 2;
+    }
+    cr_assert_eq(*choose_upstream(candidates, {.selector = 1}), 0U);
+    cr_assert_eq(*choose_upstream(candidates, {.prefix = 1, .shared_tokens = 1000}), 0U);
+}
