Follow the other entries of a list that holds an odd one

It could happen here: a list or a change of the object API is one JSON text, and its parser refuses the whole text for a value nested more than 64 deep, a number out of range such as 1e400, or two members of one name; an entry that is no object made the whole list malformed. The nodes then kept what they knew and followed nothing more; no process ended.

An unusable entry is logged once until its reason changes, and counted in a metric.

--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -9,6 +9,7 @@
 #include "core/errors/verdict.h"
 #include "core/hash/hash.h"
 #include "core/json/json.h"
+#include "core/json/stored_json.h"
 #include "core/log/buffered_log.h"
 #include "core/log/log.h"
 #include "core/threads/event_loop.h"
--- a/modules/core/json/json.cpp
+++ b/modules/core/json/json.cpp
@@ -18,7 +18,11 @@
     return builder;
 }
 
-result<Json::Value> parse(const std::string& text, const Json::CharReaderBuilder& builder)
+} // namespace
+
+namespace detail {
+
+result<Json::Value> parse_json_with(const std::string& text, const Json::CharReaderBuilder& builder)
 {
     const std::unique_ptr<Json::CharReader> reader(builder.newCharReader());
     Json::Value value;
@@ -34,18 +38,18 @@
     return value;
 }
 
-} // namespace
+} // namespace detail
 
 result<Json::Value> parse_json(const std::string& text)
 {
     static const Json::CharReaderBuilder builder = make_reader_builder(false);
-    return parse(text, builder);
+    return detail::parse_json_with(text, builder);
 }
 
 result<Json::Value> parse_json_with_comments(const std::string& text)
 {
     static const Json::CharReaderBuilder builder = make_reader_builder(true);
-    return parse(text, builder);
+    return detail::parse_json_with(text, builder);
 }
 
 std::string write_json(const Json::Value& value)
--- a/modules/core/json/json.h
+++ b/modules/core/json/json.h
@@ -10,6 +10,13 @@
 /** Largest nesting depth that the JSON parser accepts, which bounds its recursion. */
 constexpr int maximum_json_depth = 64;
 
+namespace detail {
+
+/** Parses a text with a reader's options, and returns its exceptions as failures. */
+result<Json::Value> parse_json_with(const std::string& text, const Json::CharReaderBuilder& builder);
+
+} // namespace detail
+
 /** Parses a JSON text without comments, as callers and peers send it. Fails with `invalid_argument`. */
 result<Json::Value> parse_json(const std::string& text);
 
--- a/modules/gateway/control/upstream_tracker.cpp
+++ b/modules/gateway/control/upstream_tracker.cpp
@@ -30,19 +30,21 @@
     }
     bool has_changed = false;
     std::set<std::string> seen;
+    std::set<std::string> seen_unusable;
     for (const platform::object& object : received.batch.changed) {
         const std::string id = id_of(object.key);
         if (object.value.isNull()) {
+            has_changed = this->unusable.erase(id) > 0 || has_changed;
             has_changed = this->remove(id, now) || has_changed;
             continue;
         }
         core::result<upstream> entry = this->read(object);
         if (!entry) {
-            core::log_event(core::log_level::warning, "upstream_entry_unusable",
-                            {{"upstream", id}, {"reason", entry.error().message}});
-            has_changed = this->drop(id, "unusable_entry") || has_changed;
+            seen_unusable.insert(id);
+            has_changed = this->set_unusable(id, entry.error().message) || has_changed;
             continue;
         }
+        has_changed = this->unusable.erase(id) > 0 || has_changed;
         seen.insert(id);
         has_changed = this->set(std::move(*entry)) || has_changed;
     }
@@ -56,6 +58,11 @@
         for (const std::string& id : missing) {
             has_changed = this->remove(id, now) || has_changed;
         }
+        has_changed = std::erase_if(this->unusable,
+                                    [&seen_unusable](const auto& known) {
+                                        return !seen_unusable.contains(known.first);
+                                    }) > 0 ||
+                      has_changed;
     }
     return has_changed;
 }
@@ -101,6 +108,7 @@
 std::shared_ptr<const upstream_table> upstream_tracker::table() const
 {
     auto result = std::make_shared<upstream_table>();
+    result->unusable_entries = this->unusable.size();
     for (const auto& [id, known] : this->entries) {
         result->by_service[known.entry->service].push_back(known.entry);
     }
@@ -124,6 +132,19 @@
     return true;
 }
 
+bool upstream_tracker::set_unusable(const std::string& id, const std::string& reason)
+{
+    std::string& known = this->unusable[id];
+    if (known == reason) {
+        return false; // The entry may change many times a minute.
+    }
+    known = reason;
+    core::log_event(core::log_level::warning, "upstream_entry_unusable",
+                    {{"upstream", id}, {"reason", reason}});
+    this->drop(id, "unusable_entry");
+    return true;
+}
+
 bool upstream_tracker::remove(const std::string& id, core::steady_time now)
 {
     const auto found = this->entries.find(id);
--- a/modules/gateway/control/upstream_tracker.h
+++ b/modules/gateway/control/upstream_tracker.h
@@ -53,12 +53,14 @@
     };
 
     bool set(upstream entry);
+    bool set_unusable(const std::string& id, const std::string& reason);
     void hold_removals(core::steady_time connected_since);
     bool remove(const std::string& id, core::steady_time now);
     bool drop(const std::string& id, std::string_view reason);
 
     const upstream_reader read;
     std::map<std::string, tracked> entries;
+    std::map<std::string, std::string> unusable; ///< Why an entry names no upstream, by id.
     bool is_connected = true;
     core::steady_time hold_until; ///< Entries removed before this time stay in the table until then.
 };
--- a/modules/gateway/model/upstream.h
+++ b/modules/gateway/model/upstream.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -28,6 +29,7 @@
 /** The registered upstreams by service, including draining ones. Immutable once published. */
 struct upstream_table {
     std::map<std::string, std::vector<std::shared_ptr<const upstream>>> by_service;
+    std::size_t unusable_entries = 0; ///< Entries that name no upstream.
 };
 
 /** Id and start of an upstream: one run of its process. */
--- a/modules/gateway/process/gateway_metrics.cpp
+++ b/modules/gateway/process/gateway_metrics.cpp
@@ -55,6 +55,9 @@
     writer.begin("samphireway_log_lines_dropped_total", "counter", "Log lines over the rate or the buffer.");
     writer.add({}, static_cast<std::int64_t>(core::dropped_log_lines()));
     write_upstreams(writer, known, health);
+    writer.begin("samphireway_unusable_upstream_entries", "gauge",
+                 "Registered entries that name no upstream that can be used.");
+    writer.add({}, static_cast<std::int64_t>(known.unusable_entries));
     writer.begin("samphireway_limited_upstreams", "gauge", "Upstreams that name a limit of their rate.");
     writer.add({}, static_cast<std::int64_t>(limits.size()));
     writer.begin("samphireway_limited_choices_total", "counter",
