Answer every request of a planned stop before the grace ends

Another operator's report: in a planned stop in calm, requests that came late in the grace were taken and passed on; at the end they were cut with no answer, among them requests that may not be repeated.

It could happen here, by reading: requests were taken for 3 s after the signal whatever their time limit, and at the end of the grace all connections were closed. With a grace of 3 s or less the node did not start, since the default notice was not below it.

Now a request that may not be repeated is refused as not run, with a time to come back, if its time limit reaches beyond the last answer; all others, also those from before the signal, get a shorter deadline (950 ms before the grace ends), which is passed on to the upstream, and are answered by then. The notice is at most half of the grace unless it is set.

--- a/modules/gateway/exchange/drain_state.h
+++ b/modules/gateway/exchange/drain_state.h
@@ -11,6 +11,10 @@
     /** Time from which new requests are refused; empty while the node is not stopping. */
     std::optional<core::steady_time> refuse_from;
 
+    /** Time by which every request must be answered, since the process ends; empty while the node is not
+     * stopping. A request that may not be repeated and could take longer must be refused. */
+    std::optional<core::steady_time> answer_by;
+
     /** Returns whether the node was asked to stop. */
     bool is_draining() const noexcept
     {
--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -454,6 +454,14 @@
     ended->close();
 }
 
+void exchange::answer_by(core::steady_time latest)
+{
+    if (!this->is_finished && latest < this->history.deadline) {
+        this->history.deadline = latest;
+        this->start_deadline_timer();
+    }
+}
+
 void exchange::start_deadline_timer()
 {
     this->deadline_timer.expires_at(this->history.deadline);
--- a/modules/gateway/exchange/exchange.h
+++ b/modules/gateway/exchange/exchange.h
@@ -31,6 +31,9 @@
     /** Starts the exchange. The hooks of the responder may be called before this returns. */
     void start();
 
+    /** Answers the request by a time, also if it has been sent and its response is still running. */
+    void answer_by(core::steady_time latest);
+
     /** Ends the exchange because the requester closed its connection. */
     void on_requester_disconnected();
 
--- a/modules/gateway/exchange/request_resolution.cpp
+++ b/modules/gateway/exchange/request_resolution.cpp
@@ -1,5 +1,7 @@
 #include "gateway/exchange/request_resolution.h"
 
+#include "gateway/exchange/attempt_policy.h"
+
 #include <algorithm>
 
 namespace samphireway::gateway {
@@ -57,11 +59,14 @@
     }
     found.deadline = arrival + std::min(found.matched_route->timeout,
                                         found.facts.time_left.value_or(found.matched_route->timeout));
-    if (context.drain.refuses(clock::now())) {
+    const core::steady_time latest = context.drain.answer_by.value_or(found.deadline);
+    const bool may_be_cut = found.deadline > latest && !is_idempotent(*found.matched_route);
+    if (context.drain.refuses(clock::now()) || may_be_cut) {
         return tl::unexpected(core::error{.code = core::error_code::draining,
                                           .message = "this node is stopping",
                                           .retry_after = milliseconds(10)});
     }
+    found.deadline = std::min(found.deadline, latest);
     found.service_name = choose_service(*found.matched_route, found.selector);
     const service* target = found.table->find_service(found.service_name);
     if (target != nullptr && target->engine) {
--- a/modules/gateway/http/front_listener.cpp
+++ b/modules/gateway/http/front_listener.cpp
@@ -67,6 +67,14 @@
     }
 }
 
+void front_listener::answer_by(core::steady_time latest)
+{
+    const std::vector<std::shared_ptr<front_session>> open(this->sessions.begin(), this->sessions.end());
+    for (const std::shared_ptr<front_session>& session : open) {
+        session->answer_by(latest);
+    }
+}
+
 void front_listener::close_all()
 {
     const std::vector<std::shared_ptr<front_session>> open(this->sessions.begin(), this->sessions.end());
--- a/modules/gateway/http/front_listener.h
+++ b/modules/gateway/http/front_listener.h
@@ -19,6 +19,9 @@
     /** Closes connections that have no request in progress. New connections are still accepted. */
     void close_idle();
 
+    /** Answers the requests in progress by a time. */
+    void answer_by(core::steady_time latest);
+
     /** Closes all connections, which ends their requests. */
     void close_all();
 
--- a/modules/gateway/http/front_session.cpp
+++ b/modules/gateway/http/front_session.cpp
@@ -113,6 +113,13 @@
         }
     }
 
+    void answer_by(core::steady_time latest)
+    {
+        if (this->current_exchange != nullptr) {
+            this->current_exchange->answer_by(latest);
+        }
+    }
+
     void close()
     {
         if (this->phase == session_phase::closed) {
@@ -492,6 +499,11 @@
     this->state->close_if_idle();
 }
 
+void front_session::answer_by(core::steady_time latest)
+{
+    this->state->answer_by(latest);
+}
+
 void front_session::close()
 {
     this->state->close();
--- a/modules/gateway/http/front_session.h
+++ b/modules/gateway/http/front_session.h
@@ -31,6 +31,9 @@
     /** Closes the connection if no request is being read or served. */
     void close_if_idle();
 
+    /** Answers the request in progress by a time. */
+    void answer_by(core::steady_time latest);
+
     /** Closes the connection at once. */
     void close();
 
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -45,6 +45,8 @@
 constexpr milliseconds drain_check_interval{20};
 // Before it exits, a node ends the requests that still run, so that their use can be settled.
 constexpr milliseconds settle_margin{400};
+// Before that, the last answers are written to the requesters.
+constexpr milliseconds answer_margin{200};
 constexpr milliseconds registration_retry{500};
 // Time in which a ledger writer brings new deposits into the ledgers before the next one looks.
 constexpr milliseconds writer_interval{150};
@@ -443,6 +445,8 @@
         const core::steady_time now = clock::now();
         this->context.drain.refuse_from = now + this->options.settings.stop.notice;
         this->exit_at = now + this->options.settings.stop.grace - exit_margin;
+        this->context.drain.answer_by = this->exit_at - settle_margin - answer_margin;
+        this->front.answer_by(*this->context.drain.answer_by);
         core::log_event(core::log_level::info, "stopping",
                         {{"in_flight", this->context.counts.requests_in_flight},
                          {"connections", this->context.counts.requester_connections}});
--- a/modules/settings/gateway/gateway_settings.cpp
+++ b/modules/settings/gateway/gateway_settings.cpp
@@ -118,6 +118,7 @@
 {
     gateway_stop_settings result;
     result.grace = reader.milliseconds("grace_ms", time_bounds(result.grace));
+    result.notice = std::min(result.notice, result.grace / 2);
     result.notice = reader.milliseconds("notice_ms", time_bounds(result.notice));
     if (result.notice >= result.grace) {
         reader.add_fault("notice_ms", std::to_string(result.notice.count()),
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -70,7 +70,8 @@
     /** Time from the stop signal until the process is killed. */
     std::chrono::milliseconds grace{8000};
     /** Time for which requests are still accepted after the readiness probe starts to fail: the load
-        balancer stops sending requests after two failed probes, one second apart. */
+        balancer stops sending requests after two failed probes, one second apart. At most half of the
+        grace unless it is set. */
     std::chrono::milliseconds notice{3000};
 };
 
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -379,6 +379,11 @@
     return this->state->run_until(condition);
 }
 
+void loopback_gateway::answer_by(core::steady_time latest)
+{
+    this->state->front->answer_by(latest);
+}
+
 gateway::drain_state& loopback_gateway::drain()
 {
     return this->state->context.drain;
--- a/tests/gateway/loopback_gateway.h
+++ b/tests/gateway/loopback_gateway.h
@@ -89,6 +89,9 @@
     /** Runs the event loop until a condition holds, for at most 20 s. Returns whether it holds. */
     bool run_until(const std::function<bool()>& condition);
 
+    /** Has the requests in progress answered by a time. */
+    void answer_by(core::steady_time latest);
+
     gateway::drain_state& drain();
     gateway::counters& counts();
 
