Review case 2: a tenant that is added with its route is refused until a restart

Cause: a node that reads the ledger before the deposit keeps its cached ledger, and each refused request renews the verdict that the account is missing without a call of the store. Done: a script with two nodes and one change of the configuration.

--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -1,4 +1,4 @@
-// A node is stopped with SIGTERM while requesters that read slowly are still receiving answers.
+// A configuration adds a tenant with prepaid tokens and a route for it; its requests begin at once.
 #include "stage.hh"
 
 #include <csignal>
@@ -8,25 +8,12 @@
 
 namespace {
 
-constexpr int requesters = 6;
-constexpr int answer_events = 330; // 330 KB in all
-constexpr std::size_t event_bytes = 1000;
+constexpr milliseconds request_interval{50}; // at each node
+constexpr milliseconds steady_time{20000};   // after the configuration
+constexpr milliseconds settling_time{5000};  // the first requests don't count
+constexpr int answer_events = 5;
+constexpr std::size_t event_bytes = 55;
 constexpr std::chrono::microseconds event_interval{18180}; // 6 tokens of 3.03 ms
-constexpr int time_limit_ms = 12000;
-// A weak signal, which is better after some seconds.
-constexpr double weak_bytes_per_second = 3000;
-constexpr double good_bytes_per_second = 250000;
-constexpr std::chrono::duration<double> weak_time{6.5};
-constexpr int receive_buffer = 16384;
-constexpr int segment_bytes = 1360;
-constexpr std::size_t read_bytes = 1000;
-constexpr milliseconds stop_after{2500}; // from the requests to SIGTERM
-
-struct outcome {
-    response received;
-    double sent_at = 0;
-    double ended_at = 0;
-};
 
 bool answer_stream(channel& to, request& received)
 {
@@ -43,36 +30,108 @@
     return to.write("0\r\n\r\n");
 }
 
-outcome ask_slowly(record& notes, channel& to, const std::string& id)
+struct tally {
+    std::atomic<int> sent{0};
+    std::atomic<int> served{0};
+};
+
+/** Asks a node again and again, on a kept channel, until told to stop. */
+class requester {
+public:
+    requester(record& notes_to_use, node& target_to_use, std::string path_to_use, std::string key_to_use,
+              std::string prefix_to_use)
+        : notes(notes_to_use), target(target_to_use), path(std::move(path_to_use)), key(std::move(key_to_use)),
+          prefix(std::move(prefix_to_use)), thread([this] { this->run(); })
+    {
+    }
+
+    ~requester()
+    {
+        this->is_over = true;
+        this->thread.join();
+    }
+
+    tally counted;
+    std::atomic<bool> is_counting{false};
+
+private:
+    void run()
+    {
+        std::vector<std::thread> asked;
+        auto next = steady::now();
+        for (int number = 0; !this->is_over; ++number) {
+            asked.emplace_back([this, number] { this->ask(number); });
+            next += request_interval;
+            std::this_thread::sleep_until(next);
+        }
+        for (std::thread& each : asked) {
+            each.join();
+        }
+    }
+
+    void ask(int number)
+    {
+        const std::string id = this->prefix + std::to_string(100000 + number);
+        const bool counts = this->is_counting;
+        try {
+            const auto to = channel::connect(this->target.ports.front);
+            request_options asked{.path = this->path, .method = "GET", .attempt_id = id, .deadline_ms = 4000};
+            asked.key = this->key;
+            if (this->path.starts_with("/quote/")) {
+                asked.method = "POST";
+                asked.usage = "828,30";
+                asked.prompt = "5c1e07a2:119," + id + ":709";
+                asked.body = "32 spokes, two wheels";
+            }
+            to->write(request_text(asked));
+            const response received = read_response(*to);
+            const bool is_served = received.status == 200 && received.is_complete;
+            this->counted.sent += counts ? 1 : 0;
+            this->counted.served += counts && is_served ? 1 : 0;
+            this->notes.line("requester of " + id + " " + this->path + " at " + this->target.name + ": status " +
+                             std::to_string(received.status) + (received.is_complete ? "" : ", not complete") +
+                             (is_served ? "" : " " + received.body));
+        }
+        catch (const std::exception& error) {
+            this->counted.sent += counts ? 1 : 0;
+            this->notes.line("requester of " + id + " at " + this->target.name + ": " + error.what());
+        }
+    }
+
+    record& notes;
+    node& target;
+    const std::string path;
+    const std::string key;
+    const std::string prefix;
+    std::atomic<bool> is_over{false};
+    std::thread thread;
+};
+
+/** Lacks the route "quote", which is added later. */
+Json::Value first_configuration()
+{
+    Json::Value configuration = small_configuration(7);
+    Json::Value routes(Json::arrayValue);
+    for (const Json::Value& route : configuration["routes"]) {
+        if (route["name"] != "quote") {
+            routes.append(route);
+        }
+    }
+    configuration["routes"] = routes;
+    return configuration;
+}
+
+/** Adds the tenant "shops", with prepaid tokens, and the route "quote". */
+Json::Value second_configuration()
 {
-    outcome result;
-    result.sent_at = notes.seconds();
-    to.write(request_text({.path = "/chat/lacing",
-                           .attempt_id = id,
-                           .deadline_ms = time_limit_ms,
-                           .usage = "826,1980",
-                           .prompt = "5c1e07a2:119,91bd3f06:79,e4402b7d:628",
-                           .body = "how do I lace 32 spokes?"}));
-    notes.line("sent " + id);
-    const auto begin = steady::now();
-    auto next_read = begin;
-    result.received = read_response(
-        to,
-        [&] {
-            const double rate =
-                steady::now() - begin < weak_time ? weak_bytes_per_second : good_bytes_per_second;
-            next_read += std::chrono::duration_cast<steady::duration>(
-                std::chrono::duration<double>(static_cast<double>(read_bytes) / rate));
-            std::this_thread::sleep_until(next_read);
-        },
-        read_bytes);
-    result.ended_at = notes.seconds();
-    notes.line("requester of " + id + ": status " + std::to_string(result.received.status) + ", " +
-               std::to_string(result.received.body.size()) + " bytes, " +
-               (result.received.is_complete ? "complete"
-                                            : "NOT COMPLETE, channel " + result.received.end_reason) +
-               ", " + std::to_string(result.ended_at - result.sent_at) + " s after it was sent");
-    return result;
+    Json::Value configuration = small_configuration(9);
+    Json::Value added;
+    added["name"] = "shops";
+    added["apiKeys"].append("key-two");
+    added["priority"] = 1;
+    added["prepaid"] = 10394207;
+    configuration["tenants"].append(added);
+    return configuration;
 }
 
 } // namespace
@@ -82,55 +141,90 @@
     record notes(std::string(arguments[1]) + "/record.txt");
     const std::string folder = make_temporary_folder();
     store platform(notes);
-    platform.set("config", "main", small_configuration());
+    platform.set("config", "main", has_trouble() ? first_configuration() : second_configuration());
     engine quoting_1(platform, notes, {.id = "i-quoting-1", .service = "quoting"}, answer_stream);
     engine quoting_2(platform, notes, {.id = "i-quoting-2", .service = "quoting"}, answer_stream);
-    node stopped(notes, "frontend-toto-1", "toto", platform.port(), folder);
-    node other(notes, "frontend-toto-2", "toto", platform.port(), folder);
-    stopped.start();
-    other.start();
-    if (!stopped.wait_ready(milliseconds(15000)) || !other.wait_ready(milliseconds(15000))) {
-        notes.line("the nodes did not become ready");
-        return 2;
+    engine desk(platform, notes, {.id = "i-desk-1", .service = "desk", .slots = 6},
+                [](channel& to, request& received) {
+                    return to.write(head_of_success(received, "text/plain") + "Content-Length: 4\r\n\r\nopen");
+                });
+    node front_1(notes, "frontend-toto-1", "toto", platform.port(), folder);
+    node front_2(notes, "frontend-toto-2", "toto", platform.port(), folder);
+    std::vector<node*> nodes{&front_1, &front_2};
+    for (node* each : nodes) {
+        each->start();
     }
-    std::this_thread::sleep_for(milliseconds(3500)); // contactMs
-
-    std::vector<outcome> outcomes(requesters);
-    std::vector<std::thread> threads;
-    for (int index = 0; index < requesters; ++index) {
-        threads.emplace_back([&, index] {
-            const auto to = channel::connect(stopped.ports.front, receive_buffer, segment_bytes);
-            outcomes[index] = ask_slowly(notes, *to, "a00000000000000" + std::to_string(index));
-        });
+    for (node* each : nodes) {
+        if (!each->wait_ready(milliseconds(15000))) {
+            notes.line("the nodes did not become ready");
+            return 2;
+        }
     }
-    std::this_thread::sleep_for(stop_after);
-    if (has_trouble()) {
-        stopped.signal(SIGTERM);
-        stopped.await_end(milliseconds(8000)); // graceS, then SIGKILL
+    std::this_thread::sleep_for(milliseconds(10000)); // traffic starts 10 s after the machines
+    int first_sent = 0;
+    int first_served = 0;
+    int added_sent = 0;
+    int added_served = 0;
+    {
+        std::vector<std::unique_ptr<requester>> of_first_route;
+        std::vector<std::unique_ptr<requester>> of_added_route;
+        for (node* each : nodes) {
+            of_first_route.push_back(
+                std::make_unique<requester>(notes, *each, "/status/1", "key-one", "a" + each->name.substr(14)));
+        }
+        std::this_thread::sleep_for(milliseconds(2000));
+        if (has_trouble()) {
+            platform.set("config", "main", second_configuration());
+            notes.line("configuration 9 is acknowledged");
+        }
+        for (node* each : nodes) {
+            of_added_route.push_back(
+                std::make_unique<requester>(notes, *each, "/quote/wheel", "key-two", "b" + each->name.substr(14)));
+        }
+        std::this_thread::sleep_for(settling_time);
+        for (const auto* group : {&of_first_route, &of_added_route}) {
+            for (const auto& each : *group) {
+                each->is_counting = true;
+            }
+        }
+        std::this_thread::sleep_for(steady_time - settling_time);
+        for (const auto* group : {&of_first_route, &of_added_route}) {
+            for (const auto& each : *group) {
+                each->is_counting = false;
+            }
+        }
+        std::this_thread::sleep_for(milliseconds(1000));
+        for (const auto& each : of_first_route) {
+            first_sent += each->counted.sent;
+            first_served += each->counted.served;
+        }
+        for (const auto& each : of_added_route) {
+            added_sent += each->counted.sent;
+            added_served += each->counted.served;
+        }
     }
-    for (std::thread& thread : threads) {
-        thread.join();
+    notes.line("on the first route " + std::to_string(first_served) + " of " + std::to_string(first_sent) +
+               " requests were served");
+    notes.line("on the added route " + std::to_string(added_served) + " of " + std::to_string(added_sent) +
+               " requests were served, from " + std::to_string(settling_time.count() / 1000) + " s to " +
+               std::to_string(steady_time.count() / 1000) + " s after it was added");
+    notes.line("the ledger: " + platform.get("ledger", "budget.0").toStyledString());
+    for (node* each : nodes) {
+        each->signal(SIGTERM);
     }
-    const std::size_t whole = answer_events * event_bytes;
-    int lost = 0;
-    for (const outcome& result : outcomes) {
-        if (result.received.status != 200 && !result.received.is_complete) {
-            notes.line("a request had no answer at all");
-        }
-        const bool is_whole = result.received.is_complete && result.received.body.size() == whole;
-        const bool had_time = (result.ended_at - result.sent_at) * 1000 < time_limit_ms;
-        lost += !is_whole && had_time ? 1 : 0;
+    for (node* each : nodes) {
+        each->await_end(milliseconds(9000));
     }
-    notes.line(std::to_string(lost) + " of " + std::to_string(requesters) +
-               " answers were cut before their time limit");
-    other.signal(SIGTERM);
-    stopped.signal(SIGTERM);
-    other.await_end(milliseconds(9000));
-    stopped.await_end(milliseconds(9000));
     quoting_1.stop();
     quoting_2.stop();
+    desk.stop();
     platform.stop();
-    return lost > 0 ? 1 : 0;
+    if (added_sent < 20 || first_served == 0) {
+        return 2;
+    }
+    const double first_share = static_cast<double>(first_served) / first_sent;
+    const double added_share = static_cast<double>(added_served) / added_sent;
+    return 4 * added_share < first_share ? 1 : 0;
 }
 catch (const std::exception& error) {
     std::cerr << error.what() << '\n';
