--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -12,6 +12,7 @@
 #include <poll.h>
 #include <sstream>
 #include <stdexcept>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -678,11 +679,11 @@
 
 std::string make_temporary_folder()
 {
-    std::string name = "/tmp/review-XXXXXX";
-    if (::mkdtemp(name.data()) == nullptr) {
-        throw std::runtime_error("no temporary folder");
+    const char* const given = std::getenv("REVIEW_FOLDER");
+    if (given == nullptr) {
+        throw std::runtime_error("REVIEW_FOLDER is not set; start the case with its run.sh");
     }
-    return name;
+    return given;
 }
 
 node::node(record& notes_to_use, std::string name_to_use, std::string zone_to_use, int store_port_to_use,
@@ -717,6 +718,7 @@
     const std::string root = repository_root();
     const pid_t child = ::fork();
     if (child == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // The node ends with the case, also if that is killed.
         ::setenv("SAMPHIREWAY_BOOT", settings.c_str(), 1);
         const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         ::dup2(out, 1);
--- a/review/stage/stage.hh
+++ b/review/stage/stage.hh
@@ -225,6 +225,7 @@
 int free_port();
 std::string repository_root();
 bool has_trouble();
+/** Returns the folder that run.sh made for settings and logs, and removes afterwards. */
 std::string make_temporary_folder();
 
 /** The configuration of a small deployment: a stream route, a second one, an unsafe one and a safe one. */
