--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -148,17 +148,6 @@
     }
 }
 
-void channel::reset()
-{
-    const linger now{1, 0};
-    const std::lock_guard lock(this->close_mutex);
-    if (!this->is_closed) {
-        this->is_closed = true;
-        ::setsockopt(this->fd, SOL_SOCKET, SO_LINGER, &now, sizeof now);
-        ::close(this->fd);
-    }
-}
-
 std::unique_ptr<channel> channel::connect(int port, int receive_buffer, int segment_bytes)
 {
     const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -437,19 +426,6 @@
     return this->revision;
 }
 
-void store::erase(const std::string& kind, const std::string& name)
-{
-    const std::lock_guard lock(this->mutex);
-    const auto found = this->kinds[kind].find(name);
-    if (found == this->kinds[kind].end()) {
-        return;
-    }
-    Json::Value object = found->second;
-    this->kinds[kind].erase(found);
-    object["metadata"]["revision"] = static_cast<Json::Int64>(++this->revision);
-    this->notify(kind, object, true);
-}
-
 Json::Value store::get(const std::string& kind, const std::string& name)
 {
     const std::lock_guard lock(this->mutex);
@@ -464,9 +440,6 @@
             return;
         }
         std::this_thread::sleep_for(store_delay);
-        if (this->on_call && !this->on_call(*call)) {
-            return;
-        }
         const auto [status, body] = this->answer(*call);
         std::string text = to_text(body);
         for (std::size_t at = 0; (at = text.find(half_pair)) != std::string::npos;) {
@@ -677,7 +650,7 @@
     return given == nullptr || std::string(given) != "0";
 }
 
-std::string make_temporary_folder()
+std::string temporary_folder()
 {
     const char* const given = std::getenv("REVIEW_FOLDER");
     if (given == nullptr) {
@@ -791,15 +764,6 @@
     }
 }
 
-double node::resident_mb() const
-{
-    std::ifstream file("/proc/" + std::to_string(this->process) + "/statm");
-    long total = 0;
-    long resident = 0;
-    file >> total >> resident;
-    return static_cast<double>(resident) * static_cast<double>(::sysconf(_SC_PAGESIZE)) / 1e6;
-}
-
 Json::Value small_configuration(int version)
 {
     const auto route = [](const char* name, const char* prefix, const char* kind, int timeout, int target,
--- a/review/stage/stage.hh
+++ b/review/stage/stage.hh
@@ -56,7 +56,6 @@
     /** Waits until bytes can be read. Returns false after the time. */
     bool wait_readable(milliseconds time);
     void close();
-    void reset();
 
     const int fd;
     std::string buffer;
@@ -88,7 +87,7 @@
 std::optional<request> read_request_head(channel& from);
 bool read_request_body(channel& from, request& into);
 
-/** Reads a response. `on_progress` is called before each read, and may wait to read slowly. */
+/** Reads a response. `before_read` is called before each read, and may wait to read slowly. */
 response read_response(channel& from, const std::function<void()>& before_read = {},
                        std::size_t read_limit = 65536);
 
@@ -122,16 +121,12 @@
     int port() const { return this->listening->port(); }
     /** Writes an object as an operator or an engine does. Returns the revision. */
     std::int64_t set(const std::string& kind, const std::string& name, const Json::Value& spec);
-    void erase(const std::string& kind, const std::string& name);
     Json::Value get(const std::string& kind, const std::string& name);
     void stop();
 
     /** A text of a spec that the store's answers hold as the escape of one half of a surrogate pair. */
     static constexpr const char* half_pair = "@half-of-a-pair@";
 
-    /** Called with each call before it is carried out; returns false to close the channel unanswered. */
-    std::function<bool(const request&)> on_call;
-
 private:
     struct event {
         std::int64_t revision;
@@ -207,9 +202,6 @@
     void signal(int number);
     /** Waits until the process has ended; kills it after the time. */
     void await_end(milliseconds time);
-    /** Resident memory in MB, 0 if the process has ended. */
-    double resident_mb() const;
-    pid_t pid() const { return this->process; }
 
     const std::string name;
     const node_ports ports;
@@ -226,7 +218,7 @@
 std::string repository_root();
 bool has_trouble();
 /** Returns the folder that run.sh made for settings and logs, and removes afterwards. */
-std::string make_temporary_folder();
+std::string temporary_folder();
 
 /** The configuration of a small deployment: a stream route, a second one, an unsafe one and a safe one. */
 Json::Value small_configuration(int version = 7);
