--- a/review/build.sh
+++ b/review/build.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 mkdir -p build
-flags=(-std=c++20 -O1 -g -Wall -Wextra -Wno-missing-field-initializers -pthread -I stage -I /usr/include/jsoncpp)
+flags=(-std=c++20 -O1 -Wall -Wextra -Wno-missing-field-initializers -pthread -I stage -I /usr/include/jsoncpp)
 g++ "${flags[@]}" -c stage/stage.cc -o build/stage.o
 for source in [1-5]/case.cc; do
     [ -f "$source" ] || continue
