--- a/review/2/case.cc
+++ b/review/2/case.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr milliseconds request_interval{50}; // at each node
+constexpr milliseconds request_interval{18}; // at each node; the rate of cotizacion-armado, 55.6 a second
 constexpr milliseconds steady_time{20000};   // after the configuration
 constexpr milliseconds settling_time{5000};  // the first requests don't count
 constexpr int answer_events = 5;
