Log when a plan is seen to have an account, or none

The logs of a refusal "plan has no budget" didn't tell whether the ledger had been read since: a deposit that comes late, a node that doesn't read and an old state that is taken for a new one look alike. One line for each change of what the node believes, with the ledger's limit.

--- a/modules/budget/grants/grant_pool.cpp
+++ b/modules/budget/grants/grant_pool.cpp
@@ -53,6 +53,15 @@
                      {"limit", account.limit()}});
 }
 
+void log_existence(const std::string& plan, const account_summary& before, const account_summary& after)
+{
+    if (before.is_known && before.exists == after.exists) {
+        return;
+    }
+    core::log_event(core::log_level::info, "plan_account_observed",
+                    {{"plan", plan}, {"exists", after.exists}, {"limit", after.limit}});
+}
+
 } // namespace
 
 grant_pool::grant_pool(grant_pool_options options_to_use)
@@ -242,8 +251,10 @@
             continue;
         }
         const auto found = written.accounts.find(plan);
-        this->change_and_notify(*account, [&](plan_account& target) {
+        this->change_and_notify(*account, [&, &name = plan](plan_account& target) {
+            const account_summary before = target.last_summary;
             target.observe(found == written.accounts.end() ? nullptr : &found->second, update.started_at);
+            log_existence(name, before, target.last_summary);
         });
     }
 }
