--- a/modules/budget/grants/plan_account.cpp
+++ b/modules/budget/grants/plan_account.cpp
@@ -126,16 +126,18 @@
         decision = draw_decision{.give_back = result.input.free, .is_urgent = true};
         result.is_final = committed.sequence > 0 && this->holder.reserved() == 0;
     }
-    if (this->last_summary.is_known && (!this->last_summary.exists || this->last_summary.available <= 0)) {
+    if (this->last_summary.is_known && this->last_summary.available <= 0) {
         decision.draw = 0;
     }
     const bool changes_need = (decision.wanted > 0) != (committed.wanted > 0);
     const bool changes_grant = decision.draw > 0 || decision.give_back > 0;
     const bool is_unresolved = this->holder.has_write_in_flight();
-    result.has_change = changes_grant || changes_need || result.is_final || is_unresolved ||
-                        this->holder.has_unsettled_spend();
-    result.is_needed_now =
-        (decision.is_urgent && (changes_grant || changes_need)) || result.is_final || is_unresolved;
+    // An account that the ledger lacks cannot be written; only a read can show that it was added.
+    const bool is_missing = this->last_summary.is_known && !this->last_summary.exists;
+    result.has_change = !is_missing && (changes_grant || changes_need || result.is_final || is_unresolved ||
+                                        this->holder.has_unsettled_spend());
+    result.is_needed_now = result.has_change && ((decision.is_urgent && (changes_grant || changes_need)) ||
+                                                 result.is_final || is_unresolved);
     return result;
 }
 
--- a/modules/escrow/ledger/ledger_client.cpp
+++ b/modules/escrow/ledger/ledger_client.cpp
@@ -56,16 +56,23 @@
 
 core::result<ledger> ledger_client::update(const platform::object_store& store, const change& apply)
 {
+    bool is_from_this_call = false;
     for (int attempt = 0; attempt < maximum_attempts; ++attempt) {
         if (!this->is_latest_valid) {
             core::result<void> refreshed = this->refresh(store);
             if (!refreshed) {
                 return tl::unexpected(this->with_unknown_write(refreshed.error()));
             }
+            is_from_this_call = true;
         }
         ledger changed = this->latest;
         if (!apply(changed)) {
-            return changed;
+            if (is_from_this_call) {
+                return changed;
+            }
+            // Other nodes may have written since; only a conditional write would have shown it.
+            this->is_latest_valid = false;
+            continue;
         }
         ++this->call_count;
         core::result<platform::put_outcome> outcome = store.put(this->key, to_json(changed), this->version);
@@ -87,6 +94,7 @@
                 return tl::unexpected(this->with_unknown_write(current.error()));
             }
             this->set_latest(outcome->current->version, std::move(*current));
+            is_from_this_call = true;
         }
     }
     // The last conflict may have returned a ledger that contains an earlier write of unknown outcome.
--- a/modules/escrow/ledger/ledger_client.h
+++ b/modules/escrow/ledger/ledger_client.h
@@ -25,7 +25,8 @@
     explicit ledger_client(std::string object_key);
 
     /**
-        Applies a change and stores the result. Returns the ledger as stored.
+        Applies a change and stores the result. Returns the ledger as stored at some time during this
+        call; a change with nothing to write is applied to a ledger that this call has read.
 
         Fails with the error of the platform call, such as `platform_unavailable` or `rate_limited`,
         with `invalid_argument` when the stored ledger is malformed, or with `conflict` after repeated
@@ -50,7 +51,7 @@
     void set_latest(platform::object_version read_version, ledger value);
     core::error with_unknown_write(core::error failure) const;
 
-    /** Whether the next change can be applied to `latest` without a further read. */
+    /** Whether a change that will be written can be applied to `latest` without a further read. */
     bool is_latest_valid = false;
     platform::object_version version = 0;
     ledger latest;
--- a/tests/escrow/ledger_client_test.cpp
+++ b/tests/escrow/ledger_client_test.cpp
@@ -99,3 +99,16 @@
     cr_assert_eq(other->accounts.at("plan").holders.at("other").granted, 100);
     cr_assert_eq(other->accounts.at("plan").available(), 0);
 }
+
+// Guards against a cached ledger that is passed off as the present one when a change has nothing to write.
+Test(ledger_client, change_without_effect_returns_what_is_stored_now)
+{
+    testing::fake_object_store fake;
+    const platform::object_store store = fake.hooks();
+    escrow::ledger_client client(key);
+    cr_assert(client.read(store).has_value());
+    deposit(store, 1000);
+    const core::result<escrow::ledger> seen = client.update(store, [](escrow::ledger&) { return false; });
+    cr_assert(seen.has_value());
+    cr_assert(seen->accounts.contains("plan"));
+}
--- a/tests/gateway/budget_access_test.cpp
+++ b/tests/gateway/budget_access_test.cpp
@@ -22,6 +22,13 @@
         for (int index = 0; index < count; ++index) {
             this->nodes.push_back(std::make_unique<node>(*this, "node-" + std::to_string(index)));
         }
+        if (prepaid > 0) {
+            this->deposit(prepaid);
+        }
+    }
+
+    void deposit(amount prepaid)
+    {
         const auto stored =
             gateway::store_deposits(this->store.hooks(), this->nodes.front()->grant_pool,
                                     {.totals = {{workspace, prepaid}}, .node = "none", .holder = "none.0"});
@@ -220,6 +227,37 @@
     cr_assert_eq((*outcome)->lender, "node-1");
 }
 
+// Guards against a plan that is refused as missing for as long as requests keep coming, because its first
+// request came before its deposit.
+Test(budget_access, plan_is_served_whose_requests_come_before_its_deposit)
+{
+    budget_nodes nodes(1, 0);
+    for (int request = 0; request < 30; ++request) {
+        cr_assert_not(nodes.reserve(0, 100).has_value());
+    }
+    nodes.deposit(100000);
+    int served = 0;
+    for (int request = 0; request < 300; ++request) {
+        nodes.now += 18ms;
+        served += nodes.reserve(0, 100).has_value() ? 1 : 0;
+    }
+    cr_assert_gt(served, 150, "%d of 300 requests were served", served);
+}
+
+// Guards against a plan without an account that uses up the calls to the ledger of all plans.
+Test(budget_access, missing_plan_costs_few_ledger_calls)
+{
+    budget_nodes nodes(1, 0);
+    const std::uint64_t before = nodes.store.calls;
+    const core::steady_time end = nodes.now + 10s;
+    while (nodes.now < end) {
+        nodes.now += 10ms;
+        (void)nodes.reserve(0, 100);
+        nodes.tick(0);
+    }
+    cr_assert_leq(nodes.store.calls - before, 24, "a node may make 2.4 calls a second in the long run");
+}
+
 // Guards against refusals at a node that cannot reach the ledger while another node can draw.
 Test(budget_access, disconnected_node_borrows)
 {
