Bound the memory of all incomplete responses of a node

Cause: a bound on each response and none on their sum, also for failures and for responses that are never passed on.

Change: response_memory bounds the sum to an eighth of the machine's memory (node.memory_mb) and gives up the largest response; failures are bounded by 256 KB, and what is not passed on is not kept.

--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -13,6 +13,8 @@
 using clock = std::chrono::steady_clock;
 
 constexpr std::size_t maximum_buffered_response_bytes = 16U << 20U;
+// A failure, or a response that is not passed on, has a short text. An upstream that sends more is faulty.
+constexpr std::size_t maximum_failure_bytes = 256U << 10U;
 // Events have some hundred bytes. An upstream that sends more without an event's end is faulty.
 constexpr std::size_t maximum_event_bytes = 256U << 10U;
 // Reading from the upstream pauses above this size, so that a slow requester cannot fill the memory.
@@ -145,6 +147,7 @@
     this->current_upstream = target;
     this->tried_upstreams.insert(target->id);
     this->disposition = response_disposition::undecided;
+    this->received_body_bytes = 0;
     this->body.clear();
     this->context.loads.begin(target->id);
     const core::steady_time now = clock::now();
@@ -235,11 +238,34 @@
         return;
     }
     this->start_inactivity_timer();
-    if (this->body.size() + bytes.size() > maximum_buffered_response_bytes) {
+    const bool is_forwarded = this->disposition == response_disposition::forward_whole;
+    const bool is_success = is_forwarded && this->head.status < first_error_status;
+    this->received_body_bytes += bytes.size();
+    if (this->received_body_bytes > (is_success ? maximum_buffered_response_bytes : maximum_failure_bytes)) {
         this->fail_sent_attempt("response_too_large");
         return;
     }
-    this->body += bytes;
+    if (is_forwarded && this->keep_bytes(this->received_body_bytes)) {
+        this->body += bytes;
+    }
+}
+
+bool exchange::keep_bytes(std::size_t count)
+{
+    if (count == 0) {
+        this->context.memory.release(this);
+        return true;
+    }
+    const auto give_up = [kept = this->weak_from_this()] {
+        if (const std::shared_ptr<exchange> self = kept.lock()) {
+            self->fail_sent_attempt("response_memory_full");
+        }
+    };
+    if (this->context.memory.keep(this, count, give_up)) {
+        return true;
+    }
+    give_up();
+    return false;
 }
 
 void exchange::forward_events(std::string_view bytes)
@@ -250,6 +276,9 @@
         this->fail_sent_attempt("event_too_large");
         return;
     }
+    if (!this->keep_bytes(this->events.partial().size())) {
+        return;
+    }
     // Only a whole event is progress: an upstream that sends a byte or a comment now and then has stalled.
     if (this->events.count() > events_before) {
         this->start_inactivity_timer();
@@ -445,6 +474,7 @@
         return;
     }
     this->context.loads.end(this->current_upstream->id);
+    this->context.memory.release(this);
     const std::shared_ptr<upstream_connection> ended = std::move(this->connection);
     this->connection = nullptr;
     if (is_reusable) {
--- a/modules/gateway/exchange/exchange.h
+++ b/modules/gateway/exchange/exchange.h
@@ -47,6 +47,7 @@
     void send_to(const std::shared_ptr<const upstream>& target);
     response_owner on_head(const response_head& head);
     void on_body(std::string_view bytes);
+    bool keep_bytes(std::size_t count);
     void forward_events(std::string_view bytes);
     void on_end(upstream_result result);
     void on_complete();
@@ -87,6 +88,7 @@
     std::shared_ptr<upstream_connection> connection;
     response_head head;
     response_disposition disposition = response_disposition::undecided;
+    std::size_t received_body_bytes = 0; ///< Of the current attempt, if it is no stream.
     std::string body;
     event_splitter events;
     bool has_begun_stream = false;
--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -5,6 +5,7 @@
 #include "gateway/exchange/blackboard.h"
 #include "gateway/exchange/counters.h"
 #include "gateway/exchange/drain_state.h"
+#include "gateway/exchange/response_memory.h"
 #include "gateway/http/upstream_pool.h"
 #include "gateway/model/header_dialect.h"
 #include "gateway/placement/load_tracker.h"
@@ -38,6 +39,7 @@
     crash_watch& crashes;
     answered_parts& answered;
     upstream_limits& limits;
+    response_memory& memory;
     traffic::retry_budget retries{traffic::retry_budget_options{}}; ///< Retry budgets by service.
 
     blackboard board = {};
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -50,6 +50,10 @@
 constexpr milliseconds registration_retry{500};
 // Time in which a ledger writer brings new deposits into the ledgers before the next one looks.
 constexpr milliseconds writer_interval{150};
+// Part of the memory that incomplete responses may take. A text that grows is copied, which takes three times
+// its size for a moment, and the rest of the node must fit as well.
+constexpr std::size_t response_memory_divisor = 8;
+constexpr std::size_t bytes_per_mb = 1U << 20U;
 
 tcp::endpoint make_endpoint(const settings::endpoint_text& text)
 {
@@ -71,6 +75,7 @@
                   .crashes = this->crashes,
                   .answered = this->answered,
                   .limits = this->limits,
+                  .memory = this->memory,
                   .retries = traffic::retry_budget(
                       traffic::retry_budget_options{.earned_per_success = this->options.settings.retry.share,
                                                     .maximum = this->options.settings.retry.burst})},
@@ -79,6 +84,8 @@
           limits({.node = this->options.settings.id,
                   .members = [this] { return this->context.board.members.read(); },
                   .utilization = this->options.settings.upstream_limits.utilization}),
+          memory(static_cast<std::size_t>(this->options.settings.memory_mb) * bytes_per_mb /
+                 response_memory_divisor),
           crashes(this->io,
                   [this](const std::string& crash_id, const shared_parts& prompt) {
                       this->control.post(
@@ -553,6 +560,7 @@
     peer_client peers;
     rollout_controller rollouts;
     upstream_limits limits;
+    response_memory memory;
     answered_parts answered;
     crash_watch crashes;
     quarantine_book quarantine; ///< Control thread only.
--- a/modules/settings/gateway/gateway_settings.cpp
+++ b/modules/settings/gateway/gateway_settings.cpp
@@ -141,6 +141,8 @@
     result.settings.cpu_share =
         node.number("cpu_share", {.minimum = 0.001, .maximum = 1024, .fallback = 0.25});
     result.settings.link_mbps = node.number("link_mbps", {.minimum = 0.1, .maximum = 1e6, .fallback = 1000});
+    result.settings.memory_mb = static_cast<int>(node.integer(
+        "memory_mb", {.minimum = 16, .maximum = 1 << 20, .fallback = result.settings.memory_mb}));
     node.report_unknown_keys();
     result.settings.listen = read_listen({root.object("listen"), "listen", faults});
     result.settings.object_api = read_object_api({root.object("object_api"), "object_api", faults});
--- a/modules/settings/gateway/gateway_settings.h
+++ b/modules/settings/gateway/gateway_settings.h
@@ -92,6 +92,7 @@
     std::string availability_zone;
     double cpu_share = 0.25; ///< Cores that the VM gives the node.
     double link_mbps = 1000; ///< Bandwidth of the VM's link.
+    int memory_mb = 256;     ///< Memory in MiB above which the platform kills the process.
     gateway_listen_settings listen;
     object_api_settings object_api;
     gateway_budget_settings budget;
--- a/tests/gateway/failures/endless_bytes_test.cpp
+++ b/tests/gateway/failures/endless_bytes_test.cpp
@@ -22,6 +22,7 @@
 using gateway::route_kind;
 
 constexpr std::size_t part_size = 64U << 10U;
+constexpr std::size_t response_memory_bytes = 4U << 20U;
 
 /** Bytes of live allocations of the process; memory that a sanitizer keeps back after a release does not
  * count. */
@@ -91,6 +92,56 @@
     return result;
 }
 
+/** Returns a request with a deadline that leaves time for large transfers under the sanitizers. */
+std::string patient_request(const std::string& id)
+{
+    std::string patient = request(id);
+    const std::string deadline = "Deadline-Ms: 4000";
+    return patient.replace(patient.find(deadline), deadline.size(), "Deadline-Ms: 30000");
+}
+
+/** Responses of a gateway to requests that come at once, of which one has a sound upstream. */
+struct crowd_outcome {
+    std::string sound_response;
+    std::vector<std::string> endless_responses;
+    std::size_t grown = 0; ///< Largest growth of the process's allocations in bytes.
+};
+
+/** Serves 20 requests at once whose upstream sends `first` and then bytes without end, beside a sound one. */
+crowd_outcome serve_crowd(const std::string& first, const std::string& repeated)
+{
+    constexpr int endless_requests = 20;
+    loopback_gateway fixture(response_memory_bytes);
+    gateway::route route = plain_route(route_kind::unsafe, 1);
+    route.timeout = 30s;
+    fixture.configure(route);
+    fixture.add_upstream([&](const received_request& received) {
+        if (received.header("X-Samphireway-Sw-Attempt-Id") == "sound") {
+            return upstream_reply{.parts = {whole(std::string(100000, 's'))}};
+        }
+        return upstream_reply{.parts = {first, repeated}, .is_endless = true, .pause = 0ms};
+    });
+    std::vector<std::string> requests{patient_request("sound")};
+    for (int number = 0; number < endless_requests; ++number) {
+        requests.push_back(patient_request("a" + std::to_string(number)));
+    }
+    const memory_peak memory;
+    std::vector<std::string> responses = fixture.send_together(requests);
+    crowd_outcome result{.sound_response = std::move(responses.front()), .grown = memory.growth()};
+    result.endless_responses.assign(responses.begin() + 1, responses.end());
+    return result;
+}
+
+void check_crowd(const crowd_outcome& result, std::size_t allowed_growth)
+{
+    cr_assert(result.sound_response.ends_with(std::string(100000, 's')));
+    for (const std::string& response : result.endless_responses) {
+        cr_assert(has(response, "HTTP/1.1 502"), "%s", response.substr(0, 200).c_str());
+        cr_assert(has(response, "may_have_run"));
+    }
+    cr_assert_lt(result.grown, allowed_growth);
+}
+
 void check_refused(const outcome& result)
 {
     constexpr std::size_t allowed_growth = 8U << 20U;
@@ -173,11 +224,49 @@
     };
     auto& first = fixture.add_upstream(reply);
     auto& second = fixture.add_upstream(reply);
-    std::string patient = request("a1");
-    const std::string deadline = "Deadline-Ms: 4000";
-    patient.replace(patient.find(deadline), deadline.size(), "Deadline-Ms: 30000");
-    const std::string response = fixture.send(patient);
+    const std::string response = fixture.send(patient_request("a1"));
     cr_assert(has(response, "HTTP/1.1 502"), "%s", response.substr(0, 200).c_str());
     cr_assert(has(response, "may_have_run"));
     cr_assert_eq(first.requests().size() + second.requests().size(), 1U);
 }
+
+// Guards against a node that runs out of memory, and ends the requests of all its callers, when an upstream
+// answers many requests with failures without end.
+Test(endless_bytes, failures_without_end_of_many_requests, .timeout = 120)
+{
+    const crowd_outcome result = serve_crowd("HTTP/1.1 500 Internal Server Error\r\n"
+                                             "X-Samphireway-Sw-Attempt-Id: {id}\r\n"
+                                             "X-Samphireway-Sw-Signature: s\r\n\r\n",
+                                             std::string(part_size, '?'));
+    constexpr std::size_t a_quarter_of_a_small_vm = std::size_t{40} << 20U;
+    check_crowd(result, a_quarter_of_a_small_vm);
+}
+
+// The same with successes whose body has no end.
+Test(endless_bytes, successes_without_end_of_many_requests, .timeout = 120)
+{
+    const crowd_outcome result = serve_crowd(chunked_head, chunk(std::string(part_size, 'x')));
+    // A text that grows is copied, and each of the connections has a buffer.
+    check_crowd(result, 4 * response_memory_bytes);
+}
+
+// Guards against a small sound response that is given up for the large one of an upstream in trouble.
+Test(response_memory, largest_response_is_given_up_first)
+{
+    gateway::response_memory memory(1000);
+    int given_up_small = 0;
+    int given_up_large = 0;
+    const int small = 0;
+    const int large = 0;
+    const int newest = 0;
+    cr_assert(memory.keep(&small, 100, [&] { ++given_up_small; }));
+    cr_assert(memory.keep(&large, 700, [&] { ++given_up_large; }));
+    cr_assert(memory.keep(&newest, 300, [] {}));
+    cr_assert_eq(given_up_large, 1);
+    cr_assert_eq(given_up_small, 0);
+    cr_assert_eq(memory.total(), 400);
+    cr_assert_not(memory.keep(&newest, 950, [] {}), "the owner's own response is the largest");
+    cr_assert_eq(memory.total(), 100);
+    memory.release(&small);
+    cr_assert_eq(memory.total(), 0);
+}
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -197,7 +197,7 @@
 
 class loopback_gateway::implementation {
 public:
-    implementation()
+    explicit implementation(std::size_t response_memory)
         : grant_pool({.holder = "node.0", .draw = {.horizon = std::chrono::seconds(10)}}),
           budget(this->grant_pool, {.can_draw = [] { return true; },
                                     .is_ledger_writer = [] { return true; },
@@ -206,14 +206,15 @@
                                     .report =
                                         [](const gateway::outgoing_loan_report&, auto) {
                                         }}),
-          rollouts(this->rollout_options()), context{.io = this->io,
-                                                     .availability_zone = this->zone,
-                                                     .dialect = this->dialect,
-                                                     .budget = this->budget,
-                                                     .rollouts = this->rollouts,
-                                                     .crashes = this->crashes,
-                                                     .answered = this->answered,
-                                                     .limits = this->limits},
+          rollouts(this->rollout_options()), memory(response_memory), context{.io = this->io,
+                                                                              .availability_zone = this->zone,
+                                                                              .dialect = this->dialect,
+                                                                              .budget = this->budget,
+                                                                              .rollouts = this->rollouts,
+                                                                              .crashes = this->crashes,
+                                                                              .answered = this->answered,
+                                                                              .limits = this->limits,
+                                                                              .memory = this->memory},
           ledger(budget::grant_pool::object_key(0))
     {
         const auto stored =
@@ -281,6 +282,7 @@
     gateway::upstream_limits limits{{.node = "node", .members = [] {
                                          return nullptr;
                                      }}};
+    gateway::response_memory memory;
     gateway::gateway_context context;
     escrow::ledger_client ledger;
     std::list<std::unique_ptr<scripted_upstream>> upstreams;
@@ -288,7 +290,8 @@
     std::uint16_t port = 0;
 };
 
-loopback_gateway::loopback_gateway() : state(std::make_unique<implementation>())
+loopback_gateway::loopback_gateway(std::size_t response_memory)
+    : state(std::make_unique<implementation>(response_memory))
 {
     tcp::acceptor probe(this->state->io, any_port);
     this->state->port = probe.local_endpoint().port();
@@ -332,37 +335,58 @@
 
 std::string loopback_gateway::send(const std::string& bytes)
 {
-    tcp::socket socket(this->state->io);
-    socket.connect(tcp::endpoint(asio::ip::address_v4::loopback(), this->state->port));
-    asio::write(socket, asio::buffer(bytes));
-    std::string response;
-    std::array<char, 4096> part{};
-    bool is_over = false;
-    auto last_byte = std::chrono::steady_clock::now();
-    const std::function<void()> read = [&] {
-        socket.async_read_some(asio::buffer(part), [&](error_code failure, std::size_t count) {
-            response.append(part.data(), count);
-            last_byte = std::chrono::steady_clock::now();
-            if (failure) {
-                is_over = true;
-                return;
-            }
-            read();
-        });
+    return this->send_together({bytes}).front();
+}
+
+std::vector<std::string> loopback_gateway::send_together(const std::vector<std::string>& requests)
+{
+    struct requester {
+        explicit requester(asio::io_context& context) : socket(context) {}
+
+        tcp::socket socket;
+        std::string response;
+        std::array<char, 4096> part{};
+        bool is_over = false;
+        std::function<void()> read;
     };
-    read();
+    std::list<requester> requesters;
+    auto last_byte = std::chrono::steady_clock::now();
+    for (const std::string& bytes : requests) {
+        requester& client = requesters.emplace_back(this->state->io);
+        client.socket.connect(tcp::endpoint(asio::ip::address_v4::loopback(), this->state->port));
+        asio::write(client.socket, asio::buffer(bytes));
+        client.read = [&client, &last_byte] {
+            client.socket.async_read_some(asio::buffer(client.part),
+                                          [&client, &last_byte](error_code failure, std::size_t count) {
+                                              client.response.append(client.part.data(), count);
+                                              last_byte = std::chrono::steady_clock::now();
+                                              if (failure) {
+                                                  client.is_over = true;
+                                                  return;
+                                              }
+                                              client.read();
+                                          });
+        };
+        client.read();
+    }
     auto last_busy = last_byte;
     this->state->run_until([&] {
         const auto now = std::chrono::steady_clock::now();
         // The end of a response is still on its way when its request has just ended after a pause.
         last_busy = this->state->context.counts.requests_in_flight == 0 ? last_busy : now;
         const bool is_quiet = now - std::max(last_byte, last_busy) > quiet_time;
-        return is_over || (is_quiet && !response.empty());
+        return std::all_of(requesters.begin(), requesters.end(), [is_quiet](const requester& client) {
+            return client.is_over || (is_quiet && !client.response.empty());
+        });
     });
-    socket.close();
+    std::vector<std::string> responses;
+    for (requester& client : requesters) {
+        client.socket.close();
+        responses.push_back(std::move(client.response));
+    }
     this->state->io.run_for(milliseconds(1));
     this->state->io.restart();
-    return response;
+    return responses;
 }
 
 void loopback_gateway::send_and_leave(const std::string& bytes)
--- a/tests/gateway/loopback_gateway.h
+++ b/tests/gateway/loopback_gateway.h
@@ -69,7 +69,8 @@
 */
 class loopback_gateway {
 public:
-    loopback_gateway();
+    /** @param response_memory bytes that incomplete responses may take together */
+    explicit loopback_gateway(std::size_t response_memory = std::size_t{32} << 20U);
     ~loopback_gateway();
     loopback_gateway(const loopback_gateway&) = delete;
     loopback_gateway& operator=(const loopback_gateway&) = delete;
@@ -83,6 +84,9 @@
     /** Sends bytes on a new connection and returns what is received until the connection is idle or ends. */
     std::string send(const std::string& bytes);
 
+    /** Sends requests at once, each on a new connection, and returns what `send` would for each. */
+    std::vector<std::string> send_together(const std::vector<std::string>& requests);
+
     /** Sends bytes and closes the connection as soon as the first upstream has received the request. */
     void send_and_leave(const std::string& bytes);
 
