--- a/modules/gateway/http/front_listener.cpp
+++ b/modules/gateway/http/front_listener.cpp
@@ -75,11 +75,13 @@
     }
 }
 
-void front_listener::close_all()
+void front_listener::close_undelivered()
 {
     const std::vector<std::shared_ptr<front_session>> open(this->sessions.begin(), this->sessions.end());
     for (const std::shared_ptr<front_session>& session : open) {
-        session->close();
+        if (!session->is_in_delivery()) {
+            session->close();
+        }
     }
 }
 
--- a/modules/gateway/http/front_listener.h
+++ b/modules/gateway/http/front_listener.h
@@ -22,8 +22,9 @@
     /** Answers the requests in progress by a time. */
     void answer_by(core::steady_time latest);
 
-    /** Closes all connections, which ends their requests. */
-    void close_all();
+    /** Closes all connections, which ends their requests, but those that only deliver the rest of a complete
+     * response. */
+    void close_undelivered();
 
     /** Returns the number of open connections. */
     std::size_t open_connections() const noexcept
--- a/modules/gateway/http/front_session.cpp
+++ b/modules/gateway/http/front_session.cpp
@@ -126,6 +126,7 @@
             return;
         }
         this->phase = session_phase::closed;
+        this->set_in_delivery(false);
         this->timer.cancel();
         error_code ignored; // The connection is abandoned, so a failed close needs no handling.
         this->socket.close(ignored);
@@ -136,6 +137,8 @@
         this->on_closed();
     }
 
+    bool is_in_delivery = false; ///< Whether the session counts in `counters::responses_in_delivery`.
+
 private:
     enum class session_phase { idle, reading, serving, lingering, closed };
 
@@ -321,15 +324,24 @@
     {
         this->current_exchange = nullptr;
         this->is_response_complete = true;
+        this->set_in_delivery(true);
         this->continue_when_written();
     }
 
+    void set_in_delivery(bool is_delivering)
+    {
+        this->context.counts.responses_in_delivery +=
+            static_cast<int>(is_delivering) - static_cast<int>(this->is_in_delivery);
+        this->is_in_delivery = is_delivering;
+    }
+
     void continue_when_written()
     {
         if (!this->is_response_complete || !this->output.empty() || this->phase != session_phase::serving) {
             return;
         }
         this->is_response_complete = false;
+        this->set_in_delivery(false);
         if (!this->is_keep_alive) {
             this->linger();
             return;
@@ -509,4 +521,9 @@
     this->state->close();
 }
 
+bool front_session::is_in_delivery() const noexcept
+{
+    return this->state->is_in_delivery;
+}
+
 } // namespace samphireway::gateway
--- a/modules/gateway/http/front_session.h
+++ b/modules/gateway/http/front_session.h
@@ -37,6 +37,9 @@
     /** Closes the connection at once. */
     void close();
 
+    /** Returns whether a complete response has bytes that are not written to the requester yet. */
+    bool is_in_delivery() const noexcept;
+
 private:
     class implementation;
     std::unique_ptr<implementation> state;
--- a/modules/gateway/process/gateway_metrics.cpp
+++ b/modules/gateway/process/gateway_metrics.cpp
@@ -47,6 +47,9 @@
     writer.add({}, counts.resumed_streams);
     writer.begin("samphireway_requests_in_flight", "gauge", "Requests being served.");
     writer.add({}, counts.requests_in_flight);
+    writer.begin("samphireway_responses_in_delivery", "gauge",
+                 "Complete responses with bytes that are not written to their requesters yet.");
+    writer.add({}, counts.responses_in_delivery);
     writer.begin("samphireway_requester_connections", "gauge", "Open connections of requesters.");
     writer.add({}, counts.requester_connections);
     writer.begin("samphireway_upstream_connections_opened_total", "counter",
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -467,20 +467,21 @@
     void check_drain()
     {
         const core::steady_time now = clock::now();
-        const bool is_idle = this->context.drain.refuses(now) && this->context.counts.requests_in_flight == 0;
+        const bool is_idle = this->context.drain.refuses(now) && !this->context.counts.has_open_responses();
         if (this->context.drain.refuses(now) && !this->is_supply_draining) {
             this->return_grants();
         }
         const bool is_late = now >= this->exit_at - settle_margin;
         if ((is_idle || is_late) && !this->is_budget_closed) {
             this->is_budget_closed = true;
-            is_late ? this->front.close_all() : this->front.close_idle();
+            is_late ? this->front.close_undelivered() : this->front.close_idle();
             this->budget.close();
         }
         const bool is_finished = is_idle && this->supply.is_drained() && !this->loans.is_reporting();
         if (is_finished || now >= this->exit_at) {
             core::log_event(core::log_level::info, "stopped",
                             {{"in_flight", this->context.counts.requests_in_flight},
+                             {"in_delivery", this->context.counts.responses_in_delivery},
                              {"budget_returned", this->supply.is_drained() ? "true" : "false"}});
             this->io.stop();
             return;
--- a/tests/gateway/failures/planned_stop_test.cpp
+++ b/tests/gateway/failures/planned_stop_test.cpp
@@ -78,6 +78,38 @@
     cr_assert(now() < began + 1500ms);
 }
 
+// Guards against a process that ends while requesters that read slowly still receive complete responses.
+Test(planned_stop, response_in_delivery_keeps_the_process, .timeout = 60)
+{
+    const std::string body(8U << 20U, 'b');
+    loopback_gateway fixture;
+    fixture.configure(plain_route(route_kind::unsafe, 1));
+    fixture.add_upstream([&body](const received_request&) { return upstream_reply{.parts = {whole(body)}}; });
+    fixture.send_without_reading(request("a1", "Connection: close\r\n"));
+    cr_assert(fixture.run_until([&fixture] { return fixture.counts().outcomes["served"] == 1; }));
+    cr_assert_eq(fixture.counts().requests_in_flight, 0);
+    cr_assert(fixture.counts().has_open_responses());
+    fixture.close_undelivered();
+    cr_assert(fixture.read_rest().ends_with(body));
+    cr_assert_not(fixture.counts().has_open_responses());
+}
+
+// Guards against a process that waits for a requester that has left before it received its whole response.
+Test(planned_stop, requester_that_left_keeps_no_process, .timeout = 60)
+{
+    loopback_gateway fixture;
+    fixture.configure(plain_route(route_kind::unsafe, 1));
+    fixture.add_upstream([](const received_request&) {
+        return upstream_reply{.parts = {whole(std::string(8U << 20U, 'b'))}};
+    });
+    fixture.send_without_reading(request("a1"));
+    cr_assert(fixture.run_until([&fixture] {
+        return fixture.counts().has_open_responses() && fixture.counts().requests_in_flight == 0;
+    }));
+    fixture.leave();
+    cr_assert(fixture.run_until([&fixture] { return !fixture.counts().has_open_responses(); }));
+}
+
 // Guards against a node that does not start where the grace is shorter than the usual notice.
 Test(planned_stop, notice_follows_from_a_short_grace)
 {
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -288,6 +288,7 @@
     std::list<std::unique_ptr<scripted_upstream>> upstreams;
     std::unique_ptr<gateway::front_listener> front;
     std::uint16_t port = 0;
+    std::optional<tcp::socket> silent_requester;
 };
 
 loopback_gateway::loopback_gateway(std::size_t response_memory)
@@ -389,6 +390,40 @@
     return responses;
 }
 
+void loopback_gateway::send_without_reading(const std::string& bytes)
+{
+    constexpr int receive_buffer_bytes = 8192;
+    this->state->silent_requester.emplace(this->state->io);
+    tcp::socket& socket = *this->state->silent_requester;
+    socket.open(tcp::v4());
+    socket.set_option(asio::socket_base::receive_buffer_size(receive_buffer_bytes));
+    socket.connect(tcp::endpoint(asio::ip::address_v4::loopback(), this->state->port));
+    asio::write(socket, asio::buffer(bytes));
+}
+
+std::string loopback_gateway::read_rest()
+{
+    std::string response;
+    bool is_over = false;
+    asio::async_read(*this->state->silent_requester, asio::dynamic_buffer(response),
+                     [&is_over](error_code, std::size_t) { is_over = true; });
+    this->state->run_until([&is_over] { return is_over; });
+    this->state->silent_requester.reset();
+    this->state->io.run_for(milliseconds(1));
+    this->state->io.restart();
+    return response;
+}
+
+void loopback_gateway::leave()
+{
+    this->state->silent_requester.reset();
+}
+
+void loopback_gateway::close_undelivered()
+{
+    this->state->front->close_undelivered();
+}
+
 void loopback_gateway::send_and_leave(const std::string& bytes)
 {
     tcp::socket socket(this->state->io);
--- a/tests/gateway/loopback_gateway.h
+++ b/tests/gateway/loopback_gateway.h
@@ -87,6 +87,18 @@
     /** Sends requests at once, each on a new connection, and returns what `send` would for each. */
     std::vector<std::string> send_together(const std::vector<std::string>& requests);
 
+    /** Sends bytes on a new connection with a small receive buffer, from which `read_rest` reads. */
+    void send_without_reading(const std::string& bytes);
+
+    /** Returns what the connection of `send_without_reading` receives until it is closed. */
+    std::string read_rest();
+
+    /** Closes the connection of `send_without_reading`. */
+    void leave();
+
+    /** Closes the requesters' connections as a stopping node does at the end of its grace. */
+    void close_undelivered();
+
     /** Sends bytes and closes the connection as soon as the first upstream has received the request. */
     void send_and_leave(const std::string& bytes);
 
