--- a/modules/gateway/http/socket_options.cpp
+++ b/modules/gateway/http/socket_options.cpp
@@ -2,8 +2,10 @@
 
 #include <cerrno>
 #include <cstring>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace samphireway::gateway {
@@ -24,8 +26,7 @@
 {
     const int descriptor = socket.native_handle();
     set_option(descriptor, IPPROTO_TCP, TCP_NODELAY, 1, "TCP_NODELAY");
-    set_option(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT,
-               static_cast<int>(limits.unacknowledged_data.count()), "TCP_USER_TIMEOUT");
+    set_acknowledgement_timeout(socket, limits.unacknowledged_data);
     set_option(descriptor, SOL_SOCKET, SO_KEEPALIVE, 1, "SO_KEEPALIVE");
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPIDLE, static_cast<int>(limits.keep_alive_idle.count()),
                "TCP_KEEPIDLE");
@@ -33,6 +34,18 @@
     set_option(descriptor, IPPROTO_TCP, TCP_KEEPCNT, limits.keep_alive_probes, "TCP_KEEPCNT");
 }
 
+void set_acknowledgement_timeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout)
+{
+    set_option(socket.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT, static_cast<int>(timeout.count()),
+               "TCP_USER_TIMEOUT");
+}
+
+bool has_unacknowledged_data(boost::asio::ip::tcp::socket& socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes > 0;
+}
+
 core::result<void> listen_on(boost::asio::ip::tcp::acceptor& acceptor,
                              const boost::asio::ip::tcp::endpoint& address, int backlog)
 {
--- a/modules/gateway/http/socket_options.h
+++ b/modules/gateway/http/socket_options.h
@@ -18,6 +18,16 @@
  * the system refuses is logged and skipped. */
 void set_socket_options(boost::asio::ip::tcp::socket& socket, const unresponsive_peer_limits& limits = {});
 
+/**
+    Sets how long sent data may stay unacknowledged until the connection fails; zero stands for no limit.
+
+    The limit also ends connections to a peer that acknowledges every probe and only keeps its window closed.
+*/
+void set_acknowledgement_timeout(boost::asio::ip::tcp::socket& socket, std::chrono::milliseconds timeout);
+
+/** Returns whether the peer may not have acknowledged all sent data yet. */
+bool has_unacknowledged_data(boost::asio::ip::tcp::socket& socket);
+
 /** Binds an acceptor to an address and starts listening. Fails with `internal`. */
 core::result<void> listen_on(boost::asio::ip::tcp::acceptor& acceptor,
                              const boost::asio::ip::tcp::endpoint& address, int backlog);
--- a/modules/gateway/http/upstream_connection.cpp
+++ b/modules/gateway/http/upstream_connection.cpp
@@ -101,6 +101,10 @@
         ++this->request_generation;
         if (this->is_open) {
             this->is_new_connection = false;
+            if (this->is_timeout_lifted) {
+                this->is_timeout_lifted = false;
+                set_acknowledgement_timeout(this->socket, unresponsive_peer_limits{}.unacknowledged_data);
+            }
             this->write();
             return;
         }
@@ -216,6 +220,11 @@
         if (!this->is_busy) {
             return; // A hook closed the connection.
         }
+        if (!this->is_discarding_response && has_unacknowledged_data(this->socket)) {
+            // An upstream that responds is not gone; it may read the rest of a long request later.
+            this->is_timeout_lifted = true;
+            set_acknowledgement_timeout(this->socket, milliseconds(0));
+        }
         this->on_progress();
     }
 
@@ -310,6 +319,7 @@
     bool is_busy = false;
     bool is_request_written = false;
     bool is_discarding_response = false;
+    bool is_timeout_lifted = false; ///< Whether data may stay unacknowledged until the response ends.
     bool is_paused = false;
     bool is_read_deferred = false;
     bool is_head_request = false;
