--- a/modules/gateway/http/front_listener.cpp
+++ b/modules/gateway/http/front_listener.cpp
@@ -75,7 +75,7 @@
     }
 }
 
-void front_listener::close_undelivered()
+void front_listener::close_all_but_deliveries()
 {
     const std::vector<std::shared_ptr<front_session>> open(this->sessions.begin(), this->sessions.end());
     for (const std::shared_ptr<front_session>& session : open) {
--- a/modules/gateway/http/front_listener.h
+++ b/modules/gateway/http/front_listener.h
@@ -22,9 +22,9 @@
     /** Answers the requests in progress by a time. */
     void answer_by(core::steady_time latest);
 
-    /** Closes all connections, which ends their requests, but those that only deliver the rest of a complete
-     * response. */
-    void close_undelivered();
+    /** Closes the connections, which ends their requests, except those that only deliver the rest of a
+     * complete response. */
+    void close_all_but_deliveries();
 
     /** Returns the number of open connections. */
     std::size_t open_connections() const noexcept
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -474,7 +474,7 @@
         const bool is_late = now >= this->exit_at - settle_margin;
         if ((is_idle || is_late) && !this->is_budget_closed) {
             this->is_budget_closed = true;
-            is_late ? this->front.close_undelivered() : this->front.close_idle();
+            is_late ? this->front.close_all_but_deliveries() : this->front.close_idle();
             this->budget.close();
         }
         const bool is_finished = is_idle && this->supply.is_drained() && !this->loans.is_reporting();
--- a/tests/gateway/failures/planned_stop_test.cpp
+++ b/tests/gateway/failures/planned_stop_test.cpp
@@ -89,7 +89,7 @@
     cr_assert(fixture.run_until([&fixture] { return fixture.counts().outcomes["served"] == 1; }));
     cr_assert_eq(fixture.counts().requests_in_flight, 0);
     cr_assert(fixture.counts().has_open_responses());
-    fixture.close_undelivered();
+    fixture.close_all_but_deliveries();
     cr_assert(fixture.read_rest().ends_with(body));
     cr_assert_not(fixture.counts().has_open_responses());
 }
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -433,9 +433,9 @@
     this->state->silent_requester.reset();
 }
 
-void loopback_gateway::close_undelivered()
+void loopback_gateway::close_all_but_deliveries()
 {
-    this->state->front->close_undelivered();
+    this->state->front->close_all_but_deliveries();
 }
 
 void loopback_gateway::send_and_leave(const std::string& bytes)
--- a/tests/gateway/loopback_gateway.h
+++ b/tests/gateway/loopback_gateway.h
@@ -101,7 +101,7 @@
     void leave();
 
     /** Closes the requesters' connections as a stopping node does at the end of its grace. */
-    void close_undelivered();
+    void close_all_but_deliveries();
 
     /** Sends bytes and closes the connection as soon as the first upstream has received the request. */
     void send_and_leave(const std::string& bytes);
