Log what was in flight at a crash, and the outcome of each probe

The log could not tell a crash that accuses nobody from an accusation that is cleared, or from a crash that is not seen. attempt_failed now says whether a head came and which parts the prompt has; crash_probed says whether the upstream refused the connection.

--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -4,6 +4,7 @@
 #include "gateway/exchange/upstream_choice.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
 
 namespace samphireway::gateway {
 
@@ -31,6 +32,8 @@
 // Of the requests that were served with at most one send, one of this many is logged.
 constexpr std::int64_t successes_per_log_line = 16;
 constexpr unsigned first_error_status = 400;
+// Characters of the ids of a prompt's parts in a log line.
+constexpr std::size_t maximum_logged_prompt = 256;
 
 } // namespace
 
@@ -442,14 +445,18 @@
     this->inactivity_timer.cancel();
     this->stall_timer.cancel();
     ++this->context.counts.attempt_results[std::string(cause)];
-    core::log_event(core::log_level::info, "attempt_failed",
-                    {{"request", this->resolved.facts.attempt_id},
-                     {"upstream", this->current_upstream->id},
-                     {"cause", cause},
-                     {"status", this->head.status},
-                     {"sends", this->history.sends},
-                     {"events", this->events.count()},
-                     {"time_left_ms", this->time_left().count()}});
+    core::log_event(
+        core::log_level::info, "attempt_failed",
+        {{"request", this->resolved.facts.attempt_id},
+         {"upstream", this->current_upstream->id},
+         {"cause", cause},
+         {"status", this->head.status},
+         {"sends", this->history.sends},
+         {"has_head", this->has_attempt_head},
+         {"events", this->events.count()},
+         {"prompt",
+          boost::algorithm::join(this->resolved.shared_prompt_parts, ",").substr(0, maximum_logged_prompt)},
+         {"time_left_ms", this->time_left().count()}});
     this->release_upstream(false);
     this->events.discard_partial();
     retry_decision next = decide_retry(*this->resolved.matched_route, this->history, clock::now());
--- a/modules/gateway/quarantine/crash_watch.cpp
+++ b/modules/gateway/quarantine/crash_watch.cpp
@@ -58,7 +58,14 @@
 void crash_watch::finish(const std::string& crash_id, bool is_refused)
 {
     const auto ended = this->pending.extract(crash_id);
-    if (!is_refused || ended.empty()) {
+    if (ended.empty()) {
+        return;
+    }
+    core::log_event(core::log_level::info, "crash_probed",
+                    {{"crash", crash_id},
+                     {"outcome", is_refused ? "refused" : "no_crash"},
+                     {"prompts", static_cast<long long>(ended.mapped().size())}});
+    if (!is_refused) {
         return;
     }
     for (const shared_parts& prompt : ended.mapped()) {
