--- /dev/null
+++ b/tests/processes/gateway_process.cpp
@@ -0,0 +1,137 @@
+#include "processes/gateway_process.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <sys/prctl.h>
+#include <sys/resource.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+namespace samphireway::testing {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr milliseconds poll_interval{50};
+
+std::string make_directory()
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "samphireway-XXXXXX").string();
+    if (::mkdtemp(pattern.data()) == nullptr) {
+        throw std::runtime_error("cannot create a temporary directory");
+    }
+    return pattern;
+}
+
+std::string loopback_address(int port)
+{
+    return "\"127.0.0.1:" + std::to_string(port) + "\"";
+}
+
+} // namespace
+
+temporary_directory::temporary_directory() : path(make_directory()) {}
+
+temporary_directory::~temporary_directory()
+{
+    if (std::getenv("SAMPHIREWAY_TEST_KEEP_LOGS") == nullptr) {
+        std::error_code ignored; // What cannot be removed stays in the system's temporary directory.
+        std::filesystem::remove_all(this->path, ignored);
+    }
+}
+
+gateway_process::gateway_process(gateway_process_options options_to_use)
+    : options(std::move(options_to_use)), front(stage::free_port()), probes(stage::free_port()),
+      internal(stage::free_port())
+{
+    this->start();
+}
+
+gateway_process::~gateway_process()
+{
+    if (this->process > 0) {
+        ::kill(this->process, SIGKILL);
+        ::waitpid(this->process, nullptr, 0);
+    }
+}
+
+void gateway_process::start()
+{
+    const std::string settings = this->options.directory + "/" + this->options.id + ".json";
+    const std::string log = this->options.directory + "/" + this->options.id + ".log";
+    std::ofstream(settings) << "{\"node\": {\"id\": \"" << this->options.id
+                            << "\", \"availability_zone\": \"toto\", \"cpu_share\": 0.25, \"link_mbps\": "
+                               "1000.0, \"memory_mb\": "
+                            << this->options.memory_mb
+                            << "},\n\"listen\": {\"requesters\": " << loopback_address(this->front)
+                            << ", \"probes\": " << loopback_address(this->probes)
+                            << ", \"internal\": " << loopback_address(this->internal)
+                            << "},\n\"object_api\": {\"address\": "
+                            << loopback_address(this->options.store_port)
+                            << "},\n\"rollouts\": {\"exposure_share\": 0.1, \"exposure_slack\": 54},\n"
+                            << "\"stop\": {\"grace_ms\": 8000}}\n";
+    const pid_t child = ::fork();
+    if (child == 0) {
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL); // The node ends with the test, also if that is killed.
+        ::setenv("SAMPHIREWAY_TEST_SETTINGS", settings.c_str(), 1);
+        if (this->options.maximum_descriptors > 0) {
+            const auto count = static_cast<rlim_t>(this->options.maximum_descriptors);
+            const rlimit limit{.rlim_cur = count, .rlim_max = count};
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
+        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(out, STDOUT_FILENO);
+        ::dup2(out, STDERR_FILENO);
+        ::execl(SAMPHIREWAY_PROGRAM, SAMPHIREWAY_PROGRAM, "gateway", "--settings-variable",
+                "SAMPHIREWAY_TEST_SETTINGS", nullptr);
+        ::_exit(127);
+    }
+    this->process = child;
+}
+
+bool gateway_process::wait_ready(milliseconds time)
+{
+    const auto deadline = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < deadline) {
+        try {
+            const auto probe = stage::channel::connect(this->probes);
+            probe->write("GET /readiness HTTP/1.1\r\nHost: node\r\n\r\n");
+            if (probe->wait_readable(milliseconds(500)) && stage::read_response(*probe).status == 200) {
+                return true;
+            }
+        }
+        catch (const std::exception&) {
+            // The node does not listen yet.
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return false;
+}
+
+bool gateway_process::is_running()
+{
+    if (this->process > 0 && ::waitpid(this->process, nullptr, WNOHANG) != 0) {
+        this->process = 0;
+    }
+    return this->process > 0;
+}
+
+long gateway_process::peak_kilobytes() const
+{
+    std::ifstream status("/proc/" + std::to_string(this->process) + "/status");
+    std::string line;
+    while (std::getline(status, line)) {
+        if (line.starts_with("VmHWM:")) {
+            return std::stol(line.substr(6));
+        }
+    }
+    return 0;
+}
+
+} // namespace samphireway::testing
--- /dev/null
+++ b/tests/processes/gateway_process.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "stage.hh"
+
+#include <chrono>
+#include <string>
+#include <sys/types.h>
+
+namespace samphireway::testing {
+
+/** A directory for settings and logs that is removed with the object, unless SAMPHIREWAY_TEST_KEEP_LOGS is
+ * set. */
+class temporary_directory {
+public:
+    temporary_directory();
+    ~temporary_directory();
+    temporary_directory(const temporary_directory&) = delete;
+    temporary_directory& operator=(const temporary_directory&) = delete;
+
+    const std::string path;
+};
+
+/** Settings of a gateway process under test. */
+struct gateway_process_options {
+    std::string id;
+    int store_port = 0;
+    std::string directory;
+    int memory_mb = 260;
+    int maximum_descriptors = 0; ///< Soft and hard limit of the process; 0 leaves the inherited one.
+};
+
+/** `samphireway gateway` as a process of its own on loopback addresses; killed with the object. */
+class gateway_process {
+public:
+    explicit gateway_process(gateway_process_options options_to_use);
+    ~gateway_process();
+    gateway_process(const gateway_process&) = delete;
+    gateway_process& operator=(const gateway_process&) = delete;
+
+    /** Waits until the process counts as ready. Returns false after the time. */
+    bool wait_ready(std::chrono::milliseconds time);
+
+    bool is_running();
+
+    /** Returns the largest resident memory so far, in kilobytes. */
+    long peak_kilobytes() const;
+
+    int requester_port() const noexcept
+    {
+        return this->front;
+    }
+
+    int internal_port() const noexcept
+    {
+        return this->internal;
+    }
+
+private:
+    void start();
+
+    const gateway_process_options options;
+    const int front;
+    const int probes;
+    const int internal;
+    pid_t process = 0;
+};
+
+} // namespace samphireway::testing
