Notice an upstream that is restarted at once by its registration

What callers saw: upstreams whose port accepts connections all the time, as behind a supervisor, crashed for as long as requests with the part came; 49 of them reached upstreams over 3 s after the fifth crash.

Cause: a crash was told by a refused connection alone. The log shows 35 probes of 35 with the outcome no_crash.

Change: after an accepted probe the registration is watched for two seconds; another start under the id, or another upstream at the address, is a crash. A connection that is reset by an upstream that goes on accuses nobody, as before.

--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -91,6 +91,10 @@
                                      this->control.post([this, crash_id, prompt] {
                                          this->quarantine.record_crash(crash_id, prompt);
                                      });
+                                 },
+                             .upstreams =
+                                 [this] {
+                                     return this->context.board.upstreams.read();
                                  }}),
           quarantine(this->quarantine_options()), budget(this->supply.grant_pool(), this->budget_hooks()),
           endpoints(
--- a/modules/gateway/quarantine/crash_watch.cpp
+++ b/modules/gateway/quarantine/crash_watch.cpp
@@ -1,5 +1,6 @@
 #include "gateway/quarantine/crash_watch.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -9,8 +10,12 @@
 
 namespace asio = boost::asio;
 using boost::system::error_code;
+using clock = std::chrono::steady_clock;
 
 constexpr std::chrono::milliseconds probe_timeout{400};
+// A restarted upstream registers itself at its start; its entry then reaches this node by a watch.
+constexpr std::chrono::milliseconds registration_timeout{2000};
+constexpr std::chrono::milliseconds registration_interval{100};
 constexpr std::size_t maximum_pending = 256;
 constexpr std::size_t maximum_prompts = 256;
 
@@ -18,14 +23,16 @@
 
 /** An upstream that may have crashed, and the prompts of the responses that broke off. */
 struct crash_watch::suspicion {
-    suspicion(const upstream& target_to_use, std::string crash_id_to_use)
-        : target(target_to_use), crash_id(std::move(crash_id_to_use))
+    suspicion(asio::io_context& context, const upstream& target_to_use, std::string crash_id_to_use)
+        : target(target_to_use), crash_id(std::move(crash_id_to_use)), timer(context)
     {
     }
 
     const upstream target;
     const std::string crash_id;
+    asio::steady_timer timer;
     std::vector<prompt_parts> prompts;
+    core::steady_time given_up_at;
     bool is_probing = false;
 };
 
@@ -38,6 +45,20 @@
     bool is_done = false;
 };
 
+bool is_replaced(const upstream_table& table, const upstream& earlier)
+{
+    const auto found = table.by_service.find(earlier.service);
+    if (found == table.by_service.end()) {
+        return false;
+    }
+    return std::any_of(
+        found->second.begin(), found->second.end(), [&earlier](const std::shared_ptr<const upstream>& entry) {
+            const bool has_same_address = entry->address == earlier.address && entry->port == earlier.port;
+            return (entry->id == earlier.id || has_same_address) &&
+                   incarnation_of(*entry) != incarnation_of(earlier);
+        });
+}
+
 crash_watch::crash_watch(asio::io_context& context, crash_watch_hooks hooks_to_use)
     : io(context), hooks(std::move(hooks_to_use))
 {
@@ -57,7 +78,7 @@
             this->pending.erase(crash_id);
             return;
         }
-        doubted = std::make_shared<suspicion>(target, crash_id);
+        doubted = std::make_shared<suspicion>(this->io, target, crash_id);
     }
     if (doubted->prompts.size() < maximum_prompts) {
         doubted->prompts.push_back(std::move(prompt));
@@ -70,6 +91,7 @@
 void crash_watch::start_probe(const std::shared_ptr<suspicion>& doubted)
 {
     doubted->is_probing = true;
+    doubted->timer.cancel();
     error_code invalid;
     const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(doubted->target.address, invalid),
                                            doubted->target.port);
@@ -93,7 +115,32 @@
 void crash_watch::on_probed(const std::shared_ptr<suspicion>& doubted, bool is_refused)
 {
     doubted->is_probing = false;
-    this->finish(doubted, is_refused ? "refused" : "no_crash", is_refused);
+    if (is_refused) {
+        this->finish(doubted, "refused", true);
+        return;
+    }
+    doubted->given_up_at = clock::now() + registration_timeout;
+    this->await_registration(doubted);
+}
+
+void crash_watch::await_registration(const std::shared_ptr<suspicion>& doubted)
+{
+    const std::shared_ptr<const upstream_table> table =
+        this->hooks.upstreams ? this->hooks.upstreams() : nullptr;
+    if (table != nullptr && is_replaced(*table, doubted->target)) {
+        this->finish(doubted, "restarted", true);
+        return;
+    }
+    if (clock::now() >= doubted->given_up_at) {
+        this->finish(doubted, "no_crash", false);
+        return;
+    }
+    doubted->timer.expires_after(registration_interval);
+    doubted->timer.async_wait([this, doubted](error_code failure) {
+        if (!failure && !doubted->is_probing) {
+            this->await_registration(doubted);
+        }
+    });
 }
 
 void crash_watch::finish(const std::shared_ptr<suspicion>& doubted, std::string_view outcome, bool is_crash)
--- a/modules/gateway/quarantine/crash_watch.h
+++ b/modules/gateway/quarantine/crash_watch.h
@@ -15,8 +15,13 @@
 /** Hooks of a crash watch. @see crash_watch */
 struct crash_watch_hooks {
     std::function<void(const std::string& crash_id, const prompt_parts& prompt)> on_crash;
+    std::function<std::shared_ptr<const upstream_table>()> upstreams;
 };
 
+/** Returns whether a table shows that a run of an upstream has ended: its id has another start, or its
+ * address has another upstream. */
+bool is_replaced(const upstream_table& table, const upstream& earlier);
+
 /**
     Tells crashes of upstreams from lost connections. After a broken response it opens a connection, which a
     crashed upstream's VM refuses. If the connection is accepted, the upstream may have been restarted at
@@ -41,6 +46,7 @@
 
     void start_probe(const std::shared_ptr<suspicion>& doubted);
     void on_probed(const std::shared_ptr<suspicion>& doubted, bool is_refused);
+    void await_registration(const std::shared_ptr<suspicion>& doubted);
     void finish(const std::shared_ptr<suspicion>& doubted, std::string_view outcome, bool is_crash);
 
     boost::asio::io_context& io;
