Bound trailers and chunk size lines of requests

What callers saw: a client that sent trailers without end behind a chunked body ended a node, which ran out of memory, with all requests on it.

Cause: the parser keeps what is no part of a body until it is complete, and the buffers of requesters' connections and of the internal port had no largest size; the limits of headers and body do not count trailers or chunk size lines.

Change: both buffers have a largest size, which a head inside the limits and the read-ahead fit into. A requester that fills it is answered 431.

--- a/modules/gateway/http/front_session.cpp
+++ b/modules/gateway/http/front_session.cpp
@@ -29,6 +29,7 @@
 
 // Limit of the bytes of further requests that are read while one is being served.
 constexpr std::size_t maximum_read_ahead_bytes = 64U << 10U;
+constexpr std::size_t read_size = 4096;
 // Before closing, remaining input is read for this long, since closing a socket with unread bytes resets the
 // connection and the requester would lose the response.
 constexpr milliseconds linger_time{1000};
@@ -76,7 +77,8 @@
 /** Returns the status for a request that could not be read, or nothing if the connection itself failed. */
 std::optional<unsigned> status_for_read_error(error_code failure)
 {
-    if (failure == http::error::header_limit) {
+    // The buffer overflows by trailers or by the size line of a chunk, which the other limits do not count.
+    if (failure == http::error::header_limit || failure == http::error::buffer_overflow) {
         return 431;
     }
     if (failure == http::error::body_limit) {
@@ -193,6 +195,7 @@
         this->phase = session_phase::reading;
         this->arrival = clock::now();
         const requester_limits bounds = this->limits();
+        this->buffer.max_size(bounds.header_bytes + maximum_read_ahead_bytes + read_size);
         this->parser.emplace();
         this->parser->header_limit(static_cast<std::uint32_t>(bounds.header_bytes));
         this->parser->body_limit(bounds.body_bytes);
@@ -388,7 +391,6 @@
             return;
         }
         this->socket.non_blocking(true, failure);
-        constexpr std::size_t read_size = 4096;
         const std::size_t count = this->socket.read_some(this->buffer.prepare(read_size), failure);
         this->buffer.commit(count);
         if (failure && failure != asio::error::would_block) {
--- a/modules/gateway/http/internal_server.cpp
+++ b/modules/gateway/http/internal_server.cpp
@@ -19,6 +19,8 @@
 constexpr int accept_backlog = 128;
 // Limit of the headers and of the body of a call; probes and loan calls are far smaller.
 constexpr std::uint32_t maximum_message_bytes = 8192;
+// Bounds what is no part of a body yet, also trailers and size lines of chunks. Larger than the largest head.
+constexpr std::size_t maximum_unparsed_bytes = std::size_t{4} * maximum_message_bytes;
 // The platform probes once a second; a connection without a request for this long is considered unused.
 constexpr std::chrono::seconds idle_timeout{20};
 // Delay before the next accept after a failed one, which mostly fails because no file descriptor is free.
@@ -91,7 +93,7 @@
     tcp::socket socket;
     boost::asio::steady_timer timer;
     const internal_handler& handler;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{maximum_unparsed_bytes};
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
 };
--- a/tests/processes/crash_fleet.cpp
+++ b/tests/processes/crash_fleet.cpp
@@ -425,8 +425,9 @@
                 lost.crash(lost.current_run());
             }
         });
-        cr_assert(first.is_running());
-        cr_assert(second.is_running());
+        for (gateway_process* const node : {&first, &second}) {
+            cr_assert(node->is_running(), "%s", node->describe_end().c_str());
+        }
         outcome.sound = load.sound;
         outcome.sound_served = load.served;
         outcome.sound_refused = load.refused;
--- a/tests/processes/gateway_process.cpp
+++ b/tests/processes/gateway_process.cpp
@@ -1,10 +1,12 @@
 #include "processes/gateway_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/resource.h>
@@ -64,7 +66,7 @@
 void gateway_process::start()
 {
     const std::string settings = this->options.directory + "/" + this->options.id + ".json";
-    const std::string log = this->options.directory + "/" + this->options.id + ".log";
+    const std::string log = this->log_path();
     std::ofstream(settings) << "{\"node\": {\"id\": \"" << this->options.id
                             << "\", \"availability_zone\": \"toto\", \"cpu_share\": 0.25, \"link_mbps\": "
                                "1000.0, \"memory_mb\": "
@@ -116,12 +118,29 @@
 
 bool gateway_process::is_running()
 {
-    if (this->process > 0 && ::waitpid(this->process, nullptr, WNOHANG) != 0) {
+    if (this->process > 0 && ::waitpid(this->process, &this->wait_status, WNOHANG) != 0) {
         this->process = 0;
     }
     return this->process > 0;
 }
 
+std::string gateway_process::describe_end() const
+{
+    constexpr std::streamoff shown_bytes = 2000;
+    std::ifstream log(this->log_path(), std::ios::ate);
+    log.seekg(std::max<std::streamoff>(0, static_cast<std::streamoff>(log.tellg()) - shown_bytes));
+    const std::string end((std::istreambuf_iterator<char>(log)), std::istreambuf_iterator<char>());
+    const std::string cause = WIFSIGNALED(this->wait_status)
+                                  ? "signal " + std::to_string(WTERMSIG(this->wait_status))
+                                  : "exit code " + std::to_string(WEXITSTATUS(this->wait_status));
+    return this->options.id + " ended with " + cause + "; its log ends with\n" + end;
+}
+
+std::string gateway_process::log_path() const
+{
+    return this->options.directory + "/" + this->options.id + ".log";
+}
+
 long gateway_process::peak_kilobytes() const
 {
     std::ifstream status("/proc/" + std::to_string(this->process) + "/status");
@@ -134,4 +153,10 @@
     return 0;
 }
 
+std::size_t gateway_process::open_descriptors() const
+{
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(this->process) + "/fd");
+    return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 } // namespace samphireway::testing
--- a/tests/processes/gateway_process.h
+++ b/tests/processes/gateway_process.h
@@ -42,9 +42,14 @@
 
     bool is_running();
 
+    /** Returns how the process ended, with the end of its log. */
+    std::string describe_end() const;
+
     /** Returns the largest resident memory so far, in kilobytes. */
     long peak_kilobytes() const;
 
+    std::size_t open_descriptors() const;
+
     int requester_port() const noexcept
     {
         return this->front;
@@ -57,12 +62,14 @@
 
 private:
     void start();
+    std::string log_path() const;
 
     const gateway_process_options options;
     const int front;
     const int probes;
     const int internal;
     pid_t process = 0;
+    int wait_status = 0;
 };
 
 } // namespace samphireway::testing
--- /dev/null
+++ b/tests/processes/misbehaving_clients_test.cpp
@@ -0,0 +1,176 @@
+#include "processes/gateway_process.h"
+
+#include <criterion/criterion.h>
+#include <memory>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <thread>
+#include <vector>
+
+namespace {
+
+using namespace samphireway::testing;
+using namespace std::chrono_literals;
+
+constexpr int memory_mb = 64;
+constexpr int descriptors = 256;
+// Connections of the node itself and what is left of those of a crowd.
+constexpr std::size_t descriptors_afterwards = 64;
+
+/** A gateway process with one upstream and lowered limits. */
+class attacked_node {
+public:
+    attacked_node()
+        : notes(this->directory.path + "/record.txt"), store(this->notes),
+          upstream(this->store, this->notes, {.id = "i-desk-1", .service = "desk", .slots = 6},
+                   [](stage::channel& to, stage::request& received) {
+                       return to.write(stage::head_of_success(received, "text/plain") +
+                                       "Content-Length: 4\r\n\r\nopen");
+                   })
+    {
+        Json::Value configuration = stage::small_configuration();
+        configuration["limits"]["headerBytes"] = 4096;
+        this->store.set("config", "main", configuration);
+        this->node =
+            std::make_unique<gateway_process>(gateway_process_options{.id = "node-1",
+                                                                      .store_port = this->store.port(),
+                                                                      .directory = this->directory.path,
+                                                                      .memory_mb = memory_mb,
+                                                                      .maximum_descriptors = descriptors});
+        cr_assert(this->node->wait_ready(15s));
+        cr_assert_eq(this->ask(), 200, "before the crowd");
+    }
+
+    ~attacked_node()
+    {
+        this->node.reset();
+        this->upstream.stop();
+        this->store.stop();
+    }
+
+    attacked_node(const attacked_node&) = delete;
+    attacked_node& operator=(const attacked_node&) = delete;
+
+    /** Sends an ordinary request and returns the status of its response; 0 if there is none. */
+    int ask()
+    {
+        try {
+            const auto to = stage::channel::connect(this->node->requester_port());
+            to->write(stage::request_text({.path = "/status/1", .method = "GET", .attempt_id = "a1"}));
+            return to->wait_readable(30s) ? stage::read_response(*to).status : 0;
+        }
+        catch (const std::exception&) {
+            return 0;
+        }
+    }
+
+    /** Checks what must hold during and after whatever a crowd has sent. */
+    void check()
+    {
+        cr_assert(this->node->is_running(), "%s", this->node->describe_end().c_str());
+        cr_expect_eq(this->ask(), 200, "an ordinary request is not answered");
+        cr_expect_leq(this->node->peak_kilobytes(), memory_mb * 1024L);
+    }
+
+    void check_descriptors()
+    {
+        cr_expect_leq(this->node->open_descriptors(), descriptors_afterwards);
+    }
+
+    const temporary_directory directory;
+    stage::record notes;
+    stage::store store;
+    stage::engine upstream;
+    std::unique_ptr<gateway_process> node;
+};
+
+/** Connects and writes a text, then another one again and again until enough is sent or the connection fails.
+ */
+std::unique_ptr<stage::channel> flood(int port, const std::string& begin, const std::string& piece,
+                                      std::size_t bytes)
+{
+    auto to = stage::channel::connect(port);
+    const timeval limit{.tv_sec = 5, .tv_usec = 0};
+    ::setsockopt(to->fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+    bool is_open = to->write(begin);
+    for (std::size_t sent = 0; is_open && sent < bytes; sent += piece.size()) {
+        is_open = to->write(piece);
+    }
+    return to;
+}
+
+std::vector<std::unique_ptr<stage::channel>> flood_together(std::size_t clients, int port,
+                                                            const std::string& begin,
+                                                            const std::string& piece, std::size_t bytes)
+{
+    std::vector<std::unique_ptr<stage::channel>> connections(clients);
+    std::vector<std::thread> threads;
+    for (auto& connection : connections) {
+        threads.emplace_back([&] { connection = flood(port, begin, piece, bytes); });
+    }
+    for (std::thread& thread : threads) {
+        thread.join();
+    }
+    return connections;
+}
+
+const std::string chunked_upload = "POST /order/1 HTTP/1.1\r\nHost: desk.example\r\n"
+                                   "X-Samphireway-Sw-Attempt-Id: b1\r\nX-Samphireway-Sw-Deadline-Ms: 4000\r\n"
+                                   "Authorization: Bearer key-one\r\nTransfer-Encoding: chunked\r\n\r\n";
+constexpr std::size_t crowd = 4;
+constexpr std::size_t bytes_per_client = std::size_t{32} << 20U;
+const std::string filler(16384, 'x');
+
+} // namespace
+
+// Guards against a node that runs out of memory on trailers without end behind a chunked body.
+Test(misbehaving_clients, trailers_without_end, .timeout = 120)
+{
+    attacked_node target;
+    flood_together(crowd, target.node->requester_port(), chunked_upload + "4\r\nwood\r\n0\r\n",
+                   "X-More: " + filler + "\r\n", bytes_per_client);
+    target.check();
+    target.check_descriptors();
+}
+
+// Guards against the same by a chunk extension.
+Test(misbehaving_clients, chunk_extension_without_end, .timeout = 120)
+{
+    attacked_node target;
+    flood_together(crowd, target.node->requester_port(), chunked_upload + "4;a=", filler, bytes_per_client);
+    target.check();
+    target.check_descriptors();
+}
+
+// Guards against the same on the port for other nodes.
+Test(misbehaving_clients, trailers_without_end_at_the_internal_port, .timeout = 120)
+{
+    attacked_node target;
+    flood_together(crowd, target.node->internal_port(), chunked_upload + "4\r\nwood\r\n0\r\n",
+                   "X-More: " + filler + "\r\n", bytes_per_client);
+    target.check();
+    target.check_descriptors();
+}
+
+// Guards against many unfinished bodies, each inside the limits, that fill a node's memory together.
+Test(misbehaving_clients, unfinished_bodies_of_a_crowd, .timeout = 120)
+{
+    constexpr std::size_t clients = 64;
+    constexpr std::size_t body_bytes = std::size_t{2} << 20U;
+    attacked_node target;
+    std::string begin = chunked_upload;
+    const std::string chunked = "Transfer-Encoding: chunked";
+    begin.replace(begin.find(chunked), chunked.size(), "Content-Length: 4194304");
+    const auto held = flood_together(clients, target.node->requester_port(), begin, filler, body_bytes);
+    std::this_thread::sleep_for(2s); // The kernel holds some of the bodies for the node.
+    target.check();
+}
+
+// Guards against a crowd that holds all descriptors of a node without sending a request.
+Test(misbehaving_clients, connections_without_a_request, .timeout = 120)
+{
+    constexpr std::size_t clients = 300;
+    attacked_node target;
+    const auto held = flood_together(clients, target.node->requester_port(), "", "", 0);
+    target.check();
+}
