Process tests: ports that no other socket of a test can take

Two of some hundred runs of crashing_prompts beside each other failed: a node had ended at its start, or was never ready. The ports came from a socket that was closed again, in the range from which the system gives ports to all others. They are now below that range. The failing runs show no log of the node, so that a port was taken is suspected, not shown; a failure now prints how the node ended and the end of its log.

--- a/tests/processes/crash_fleet.cpp
+++ b/tests/processes/crash_fleet.cpp
@@ -413,8 +413,9 @@
     {
         gateway_process first({.id = "node-1", .store_port = store.port(), .directory = directory.path});
         gateway_process second({.id = "node-2", .store_port = store.port(), .directory = directory.path});
-        cr_assert(first.wait_ready(15s));
-        cr_assert(second.wait_ready(15s));
+        for (gateway_process* const node : {&first, &second}) {
+            cr_assert(node->wait_ready(15s), "%s", node->describe_end().c_str());
+        }
         std::this_thread::sleep_for(contact_time);
         crash_load load(scenario, {first.requester_port(), second.requester_port()});
         std::size_t losses = 0;
--- a/tests/processes/gateway_process.cpp
+++ b/tests/processes/gateway_process.cpp
@@ -1,15 +1,18 @@
 #include "processes/gateway_process.h"
 
 #include <algorithm>
+#include <arpa/inet.h>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <netinet/in.h>
 #include <stdexcept>
 #include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <thread>
 #include <unistd.h>
@@ -31,6 +34,29 @@
     return pattern;
 }
 
+/** Returns a free port below those that the system gives to other sockets, which could take it before the
+ * node listens. Tests that run at the same time begin at different ports. */
+int reserve_port()
+{
+    constexpr int first = 10000;
+    constexpr int count = 20000;
+    constexpr int per_test = 20;
+    static int offset = ::getpid() * per_test;
+    while (true) {
+        const int port = first + offset++ % count;
+        const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        const bool is_free = ::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0;
+        ::close(descriptor);
+        if (is_free) {
+            return port;
+        }
+    }
+}
+
 std::string loopback_address(int port)
 {
     return "\"127.0.0.1:" + std::to_string(port) + "\"";
@@ -49,8 +75,8 @@
 }
 
 gateway_process::gateway_process(gateway_process_options options_to_use)
-    : options(std::move(options_to_use)), front(stage::free_port()), probes(stage::free_port()),
-      internal(stage::free_port())
+    : options(std::move(options_to_use)), front(reserve_port()), probes(reserve_port()),
+      internal(reserve_port())
 {
     this->start();
 }
--- a/tests/processes/misbehaving_clients_test.cpp
+++ b/tests/processes/misbehaving_clients_test.cpp
@@ -37,7 +37,7 @@
                                                                       .directory = this->directory.path,
                                                                       .memory_mb = memory_mb,
                                                                       .maximum_descriptors = descriptors});
-        cr_assert(this->node->wait_ready(15s));
+        cr_assert(this->node->wait_ready(15s), "%s", this->node->describe_end().c_str());
         cr_assert_eq(this->ask(), 200, "before the crowd");
     }
 
