Bound the memory of all requests that a node reads and serves

What callers would see: a crowd whose bodies are each inside the limits ends a node.

Cause: a bound on each request and none on their sum, as for responses before (docs/incidents/bytes-without-end.md).

Change: response_memory becomes memory_account, with one account for responses and one for requests (a quarter of node.memory_mb). The largest request that is still being read gives way with 503, which is true since no part of it is sent; a request that is served counts twice and never gives way.

The rule of who gives way is tested without a network.

--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -265,7 +265,7 @@
 bool exchange::keep_bytes(std::size_t count)
 {
     if (count == 0) {
-        this->context.memory.release(this);
+        this->context.responses.release(this);
         return true;
     }
     const auto give_up = [kept = this->weak_from_this()] {
@@ -273,7 +273,7 @@
             self->fail_sent_attempt("response_memory_full");
         }
     };
-    if (this->context.memory.keep(this, count, give_up)) {
+    if (this->context.responses.keep(this, count, give_up)) {
         return true;
     }
     give_up();
@@ -484,7 +484,7 @@
         return;
     }
     this->context.loads.end(this->current_upstream->id);
-    this->context.memory.release(this);
+    this->context.responses.release(this);
     const std::shared_ptr<upstream_connection> ended = std::move(this->connection);
     this->connection = nullptr;
     if (is_reusable) {
--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -5,7 +5,7 @@
 #include "gateway/exchange/blackboard.h"
 #include "gateway/exchange/counters.h"
 #include "gateway/exchange/drain_state.h"
-#include "gateway/exchange/response_memory.h"
+#include "gateway/exchange/memory_account.h"
 #include "gateway/http/upstream_pool.h"
 #include "gateway/model/header_dialect.h"
 #include "gateway/placement/load_tracker.h"
@@ -39,7 +39,8 @@
     crash_watch& crashes;
     answered_parts& answered;
     upstream_limits& limits;
-    response_memory& memory;
+    memory_account& requests;                                       ///< Requests that are read or served.
+    memory_account& responses;                                      ///< Incomplete responses of upstreams.
     traffic::retry_budget retries{traffic::retry_budget_options{}}; ///< Retry budgets by service.
 
     blackboard board = {};
--- a/modules/gateway/exchange/memory_account.h
+++ b/modules/gateway/exchange/memory_account.h
@@ -7,28 +7,30 @@
 namespace samphireway::gateway {
 
 /**
-    Bounds the memory of all incomplete responses that a node keeps, whatever their upstreams send.
+    Bounds the memory of all incomplete messages of one kind that a node keeps, whatever its peers send.
 
-    When the sum exceeds the limit, the largest responses are given up: an upstream in trouble sends
-    without end, while the responses of sound upstreams are small and stay. Traffic thread only.
+    When the sum exceeds the limit, the largest messages are given up: a peer in trouble sends without end, or
+    much, while ordinary messages are small and stay. Traffic thread only.
 
-    @see exchange
+    @see exchange, front_session
 */
-class response_memory {
+class memory_account {
 public:
-    /** Identifies the request whose response is kept. */
+    /** Identifies the message that is kept. */
     using owner = const void*;
 
     /** @param limit_to_use largest sum of all kept bytes */
-    explicit response_memory(std::size_t limit_to_use) : limit(limit_to_use) {}
+    explicit memory_account(std::size_t limit_to_use) : limit(limit_to_use) {}
 
     /**
-        Sets the number of bytes that are kept for an owner, and gives up the largest responses while the
-        sum exceeds the limit.
-
-        @param give_up frees the response of this owner; called by a later `keep` of another owner, after
-                       the owner's bytes have been taken off the sum
-        @returns whether the owner may keep its bytes. If not, its own response is the largest one.
+        Sets the number of bytes that are kept for an owner, and gives up the largest messages while the sum
+        exceeds the limit.
+
+        @param give_up frees the message of this owner; called by a later `keep` of another owner, after the
+                       owner's bytes have been taken off the sum. Without it the message counts and is never
+                       given up for another one.
+        @returns whether the owner may keep its bytes. If not, its own message is the largest one that can be
+                 given up, and its bytes are taken off the sum.
     */
     bool keep(owner kept_for, std::size_t bytes, std::function<void()> give_up);
 
@@ -42,14 +44,16 @@
     }
 
 private:
-    struct kept_response {
+    struct kept_message {
         std::size_t bytes = 0;
         std::function<void()> give_up;
     };
 
+    std::map<owner, kept_message>::iterator find_largest();
+
     const std::size_t limit;
     std::size_t sum = 0;
-    std::map<owner, kept_response> responses;
+    std::map<owner, kept_message> messages;
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/http/front_session.cpp
+++ b/modules/gateway/http/front_session.cpp
@@ -1,6 +1,7 @@
 #include "gateway/http/front_session.h"
 
 #include "gateway/exchange/exchange.h"
+#include "gateway/exchange/refusal.h"
 #include "gateway/http/request_check.h"
 #include "gateway/http/socket_options.h"
 
@@ -33,6 +34,10 @@
 // Before closing, remaining input is read for this long, since closing a socket with unread bytes resets the
 // connection and the requester would lose the response.
 constexpr milliseconds linger_time{1000};
+// Advice to a requester whose request found no memory; larger ones that are read now are over by then.
+constexpr milliseconds memory_retry_advice{1000};
+// A request body is in the exchange and in the connection to the upstream while it is served.
+constexpr std::size_t copies_of_served_body = 2;
 // A requester that acknowledges no data for this long counts as disconnected.
 constexpr milliseconds stalled_write_timeout{10000};
 
@@ -128,6 +133,7 @@
             return;
         }
         this->phase = session_phase::closed;
+        this->context.requests.release(this);
         this->set_in_delivery(false);
         this->timer.cancel();
         error_code ignored; // The connection is abandoned, so a failed close needs no handling.
@@ -224,9 +230,58 @@
         if (!this->parser->is_done() && beast::iequals(message[http::field::expect], "100-continue")) {
             this->write("HTTP/1.1 100 Continue\r\n\r\n");
         }
-        http::async_read(
+        this->parser->eager(true);
+        this->read_body();
+    }
+
+    void read_body()
+    {
+        if (this->parser->is_done()) {
+            this->on_request({});
+            return;
+        }
+        http::async_read_some(
             this->socket, this->buffer, *this->parser,
-            this->guard_handler([this](error_code ended, std::size_t) { this->on_request(ended); }));
+            this->guard_handler([this](error_code failure, std::size_t) { this->on_body_read(failure); }));
+    }
+
+    void on_body_read(error_code failure)
+    {
+        if (this->phase != session_phase::reading) {
+            this->parser.reset(); // The request was rejected; the reading that it served has just ended.
+            return;
+        }
+        if (failure) {
+            this->on_read_failure(failure);
+            return;
+        }
+        if (this->parser->is_done() || this->keep_request()) {
+            this->read_body();
+        }
+    }
+
+    /** Accounts for a request that is being read. Returns false if it has been refused for want of memory. */
+    bool keep_request()
+    {
+        const auto give_up = [kept = this->owner.weak_from_this(), this] {
+            if (const std::shared_ptr<front_session> self = kept.lock()) {
+                this->refuse_for_memory();
+            }
+        };
+        const std::size_t bytes = this->buffer.size() + this->parser->get().body().size();
+        if (this->context.requests.keep(this, bytes, give_up)) {
+            return true;
+        }
+        this->refuse_for_memory();
+        return false;
+    }
+
+    void refuse_for_memory()
+    {
+        const core::error cause{.code = core::error_code::overloaded,
+                                .message = "the node has no memory for a request of this size",
+                                .run = core::verdict::not_run};
+        this->reject(make_refusal_head(cause, memory_retry_advice), make_refusal_body(cause), cause.message);
     }
 
     void on_read_failure(error_code failure)
@@ -257,6 +312,8 @@
                                 .headers = copy_headers(message),
                                 .body = std::move(message.body())};
         this->is_head_request = message.method() == http::verb::head;
+        // Not given up for other requests from now on, since an upstream may run it.
+        this->context.requests.keep(this, copies_of_served_body * request.body.size(), {});
         this->watch_requester();
         this->current_exchange = std::make_shared<exchange>(this->context, std::move(request),
                                                             this->make_responder(), this->arrival);
@@ -325,6 +382,7 @@
 
     void on_response_complete()
     {
+        this->context.requests.release(this);
         this->current_exchange = nullptr;
         this->is_response_complete = true;
         this->set_in_delivery(true);
@@ -401,17 +459,22 @@
     }
 
     void reject(unsigned status, const std::string& message)
+    {
+        this->reject({.status = status, .reason = {}, .headers = {{"Content-Type", "text/plain"}}},
+                     message + "\n", message);
+    }
+
+    void reject(const response_head& head, const std::string& body, const std::string& reason)
     {
         if (this->phase != session_phase::reading) {
             return;
         }
-        core::log_event(core::log_level::info, "request_rejected", {{"status", status}, {"reason", message}});
+        core::log_event(core::log_level::info, "request_rejected",
+                        {{"status", head.status}, {"reason", reason}});
         ++this->context.counts.outcomes["rejected"];
         this->is_keep_alive = false;
         error_code ignored; // Cancels a pending read; it does not matter if there is none.
         this->socket.cancel(ignored);
-        std::string body = message + "\n";
-        const response_head head{.status = status, .reason = {}, .headers = {{"Content-Type", "text/plain"}}};
         this->write(serialize_head(head, body.size(), false) + body);
         this->phase = session_phase::serving;
         this->on_response_complete();
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -53,6 +53,8 @@
 // Part of the memory that incomplete responses may take. A text that grows is copied, which takes three times
 // its size for a moment, and the rest of the node must fit as well.
 constexpr std::size_t response_memory_divisor = 8;
+// Part of the memory that requests may take which are being read or served.
+constexpr std::size_t request_memory_divisor = 4;
 constexpr std::size_t bytes_per_mb = 1U << 20U;
 
 tcp::endpoint make_endpoint(const settings::endpoint_text& text)
@@ -75,7 +77,8 @@
                   .crashes = this->crashes,
                   .answered = this->answered,
                   .limits = this->limits,
-                  .memory = this->memory,
+                  .requests = this->requests,
+                  .responses = this->responses,
                   .retries = traffic::retry_budget(
                       traffic::retry_budget_options{.earned_per_success = this->options.settings.retry.share,
                                                     .maximum = this->options.settings.retry.burst})},
@@ -84,8 +87,8 @@
           limits({.node = this->options.settings.id,
                   .members = [this] { return this->context.board.members.read(); },
                   .utilization = this->options.settings.upstream_limits.utilization}),
-          memory(static_cast<std::size_t>(this->options.settings.memory_mb) * bytes_per_mb /
-                 response_memory_divisor),
+          requests(this->part_of_memory(request_memory_divisor)),
+          responses(this->part_of_memory(response_memory_divisor)),
           crashes(this->io, {.on_crash =
                                  [this](const std::string& crash_id, const prompt_parts& prompt) {
                                      this->control.post([this, crash_id, prompt] {
@@ -222,6 +225,11 @@
                 }};
     }
 
+    std::size_t part_of_memory(std::size_t divisor) const
+    {
+        return static_cast<std::size_t>(this->options.settings.memory_mb) * bytes_per_mb / divisor;
+    }
+
     quarantine_book_options quarantine_options()
     {
         return quarantine_book_options{
@@ -566,7 +574,8 @@
     peer_client peers;
     rollout_controller rollouts;
     upstream_limits limits;
-    response_memory memory;
+    memory_account requests;
+    memory_account responses;
     answered_parts answered;
     crash_watch crashes;
     quarantine_book quarantine; ///< Control thread only.
--- a/tests/gateway/failures/endless_bytes_test.cpp
+++ b/tests/gateway/failures/endless_bytes_test.cpp
@@ -251,9 +251,9 @@
 }
 
 // Guards against a small sound response that is given up for the large one of an upstream in trouble.
-Test(response_memory, largest_response_is_given_up_first)
+Test(memory_account, largest_response_is_given_up_first)
 {
-    gateway::response_memory memory(1000);
+    gateway::memory_account memory(1000);
     int given_up_small = 0;
     int given_up_large = 0;
     const int small = 0;
@@ -270,3 +270,25 @@
     memory.release(&small);
     cr_assert_eq(memory.total(), 0);
 }
+
+// Guards against a request that an upstream may run and that is given up for one that is being read, and
+// against ordinary requests that give way to a large one.
+Test(memory_account, what_cannot_be_given_up_makes_the_largest_other_give_way)
+{
+    gateway::memory_account memory(1000);
+    int given_up_small = 0;
+    int given_up_large = 0;
+    const int small = 0;
+    const int large = 0;
+    const int served = 0;
+    cr_assert(memory.keep(&small, 100, [&] { ++given_up_small; }));
+    cr_assert(memory.keep(&large, 400, [&] { ++given_up_large; }));
+    cr_assert(memory.keep(&served, 900, {}));
+    cr_assert_eq(given_up_large, 1);
+    cr_assert_eq(given_up_small, 0);
+    cr_assert_eq(memory.total(), 1000);
+    cr_assert_not(memory.keep(&large, 200, [] {}), "nothing smaller gives way to it");
+    cr_assert_eq(memory.total(), 1000);
+    cr_assert(memory.keep(&served, 2000, {}), "what is served stays");
+    cr_assert_eq(given_up_small, 1);
+}
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -220,15 +220,17 @@
                                     .report =
                                         [](const gateway::outgoing_loan_report&, auto) {
                                         }}),
-          rollouts(this->rollout_options()), memory(response_memory), context{.io = this->io,
-                                                                              .availability_zone = this->zone,
-                                                                              .dialect = this->dialect,
-                                                                              .budget = this->budget,
-                                                                              .rollouts = this->rollouts,
-                                                                              .crashes = this->crashes,
-                                                                              .answered = this->answered,
-                                                                              .limits = this->limits,
-                                                                              .memory = this->memory},
+          rollouts(this->rollout_options()),
+          responses(response_memory), context{.io = this->io,
+                                              .availability_zone = this->zone,
+                                              .dialect = this->dialect,
+                                              .budget = this->budget,
+                                              .rollouts = this->rollouts,
+                                              .crashes = this->crashes,
+                                              .answered = this->answered,
+                                              .limits = this->limits,
+                                              .requests = this->requests,
+                                              .responses = this->responses},
           ledger(budget::grant_pool::object_key(0))
     {
         const auto stored =
@@ -293,7 +295,8 @@
     gateway::upstream_limits limits{{.node = "node", .members = [] {
                                          return nullptr;
                                      }}};
-    gateway::response_memory memory;
+    gateway::memory_account requests{std::size_t{64} << 20U};
+    gateway::memory_account responses;
     gateway::gateway_context context;
     escrow::ledger_client ledger;
     std::list<std::unique_ptr<scripted_upstream>> upstreams;
