--- a/modules/gateway/http/upstream_connection.cpp
+++ b/modules/gateway/http/upstream_connection.cpp
@@ -64,6 +64,15 @@
     return head;
 }
 
+/** Returns whether a status is one of HTTP that this client can handle: it never asks for another protocol. */
+bool is_supported_status(unsigned status)
+{
+    constexpr unsigned first_status = 100;
+    constexpr unsigned last_status = 599;
+    constexpr unsigned switching_protocols = 101;
+    return status >= first_status && status <= last_status && status != switching_protocols;
+}
+
 /** Returns how long an upstream keeps an idle connection, from `Keep-Alive: timeout=SECONDS`. */
 milliseconds announced_idle_time(const parser_type::value_type& response)
 {
@@ -214,6 +223,10 @@
             return;
         }
         const response_head head = make_head(this->parser->get());
+        if (!is_supported_status(head.status)) {
+            this->end_request(upstream_result::broken);
+            return;
+        }
         const bool is_interim = head.status / 100 == 1;
         this->is_discarding_response =
             is_interim || this->hooks.on_head(head) == response_owner::earlier_request;
