Do not take an unframed answer for complete while its request is being sent (MIXED, early 200)

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent a part and reset the connection while the upload was still being written; the caller got the part as a complete answer.

Cause: the failed write takes the reset with it, and the next read then meets the end of the connection, which completes a body without a length. The write's error was dropped.

Change: an answer that ends with its connection is complete only if its request was written whole.

--- a/modules/gateway/http/upstream_connection.cpp
+++ b/modules/gateway/http/upstream_connection.cpp
@@ -283,7 +283,13 @@
 
     void on_complete()
     {
-        const bool is_keep_alive = this->parser->get().keep_alive() && !this->parser->get().need_eof();
+        const bool ends_with_connection = this->parser->get().need_eof();
+        if (ends_with_connection && !this->is_request_written) {
+            // A failed write takes the reset of the connection with it, and reading then only meets its end.
+            this->end_request(upstream_result::broken);
+            return;
+        }
+        const bool is_keep_alive = this->parser->get().keep_alive() && !ends_with_connection;
         if (this->is_discarding_response) {
             const bool is_excessive = ++this->discarded_responses > maximum_discarded_responses;
             is_keep_alive && !is_excessive ? this->read_head() : this->end_request(upstream_result::broken);
