--- a/modules/gateway/http/upstream_connection.cpp
+++ b/modules/gateway/http/upstream_connection.cpp
@@ -64,7 +64,8 @@
     return head;
 }
 
-/** Returns whether a status is one of HTTP that this client can handle: it never asks for another protocol. */
+/** Returns whether a status is one of HTTP that this client can handle: it never asks for another protocol.
+ */
 bool is_supported_status(unsigned status)
 {
     constexpr unsigned first_status = 100;
--- a/modules/gateway/quarantine/judge_parts.cpp
+++ b/modules/gateway/quarantine/judge_parts.cpp
@@ -42,8 +42,10 @@
     for (const auto& [node, report] : reports) {
         for (const auto& [part, crashes] : report.acquitted) {
             const auto found = joined.accused.find(part);
-            if (found != joined.accused.end()) {
-                std::erase_if(found->second, [&](const std::string& id) { return crashes.contains(id); });
+            for (const std::string& crash : crashes) {
+                if (found != joined.accused.end()) {
+                    found->second.erase(crash);
+                }
             }
         }
     }
