--- a/modules/gateway/http/upstream_connection.cpp
+++ b/modules/gateway/http/upstream_connection.cpp
@@ -64,8 +64,7 @@
     return head;
 }
 
-/** Returns whether a status is one of HTTP that this client can handle: it never asks for another protocol.
- */
+/** Returns whether HTTP has a status and this client can handle it; it never asks to switch protocols. */
 bool is_supported_status(unsigned status)
 {
     constexpr unsigned first_status = 100;
--- a/modules/gateway/quarantine/quarantine_book.cpp
+++ b/modules/gateway/quarantine/quarantine_book.cpp
@@ -99,6 +99,7 @@
     for (auto& [node, report] : this->reports) {
         const bool is_shorter = report.expire(oldest);
         has_expired = has_expired || is_shorter;
+        this->has_changed = this->has_changed || (is_shorter && node == this->options.node);
     }
     if (has_expired) {
         this->forget_parts();
@@ -177,7 +178,6 @@
     std::erase_if(report.answered, is_forgotten);
     std::erase_if(report.unanswered, is_forgotten);
     std::erase_if(report.acquitted, [&](const auto& entry) { return is_forgotten(entry.first); });
-    this->has_changed = true;
 }
 
 void quarantine_book::judge()
