Bound the memory of answers that requesters do not read

What callers would see: clients that ask for large answers and never read them end a node.

Cause: each connection's output was bounded (16 MB, streams 256 KB) and not their sum.

Change: an account for output, an eighth of node.memory_mb. The requester with most unread bytes loses its connection when there is no memory for all; less than 16 KB a connection is not counted. The log says output_memory_full.

--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -39,8 +39,12 @@
     crash_watch& crashes;
     answered_parts& answered;
     upstream_limits& limits;
-    memory_account& requests;                                       ///< Requests that are read or served.
-    memory_account& responses;                                      ///< Incomplete responses of upstreams.
+    /** Memory of requests that are read or served, of upstreams' incomplete responses, and of bytes that
+     * requesters have not read yet. */
+    memory_account& requests;
+    memory_account& responses;
+    memory_account& output;
+
     traffic::retry_budget retries{traffic::retry_budget_options{}}; ///< Retry budgets by service.
 
     blackboard board = {};
--- a/modules/gateway/exchange/memory_account.h
+++ b/modules/gateway/exchange/memory_account.h
@@ -37,6 +37,12 @@
     /** Ends the use of memory by an owner. Does nothing if it keeps none. */
     void release(owner kept_for);
 
+    /** Returns whether the sum has reached the limit. */
+    bool is_full() const noexcept
+    {
+        return this->sum >= this->limit;
+    }
+
     /** Returns the sum of all kept bytes. */
     std::size_t total() const noexcept
     {
--- a/modules/gateway/http/front_session.cpp
+++ b/modules/gateway/http/front_session.cpp
@@ -6,6 +6,7 @@
 #include "gateway/http/socket_options.h"
 
 #include <array>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/buffers_to_string.hpp>
@@ -31,6 +32,8 @@
 // Limit of the bytes of further requests that are read while one is being served.
 constexpr std::size_t maximum_read_ahead_bytes = 64U << 10U;
 constexpr std::size_t read_size = 4096;
+// Less than this per connection that a requester has not read yet is not accounted for.
+constexpr std::size_t small_output_bytes = 16U << 10U;
 // Before closing, remaining input is read for this long, since closing a socket with unread bytes resets the
 // connection and the requester would lose the response.
 constexpr milliseconds linger_time{1000};
@@ -134,6 +137,7 @@
         }
         this->phase = session_phase::closed;
         this->context.requests.release(this);
+        this->context.output.release(this);
         this->set_in_delivery(false);
         this->timer.cancel();
         error_code ignored; // The connection is abandoned, so a failed close needs no handling.
@@ -276,6 +280,13 @@
         return false;
     }
 
+    /** Accounts for the request that is served and for what is read ahead; it is not given up for other
+     * requests, since an upstream may run it. */
+    void keep_served_request()
+    {
+        this->context.requests.keep(this, this->served_bytes + this->buffer.size(), {});
+    }
+
     void refuse_for_memory()
     {
         const core::error cause{.code = core::error_code::overloaded,
@@ -312,8 +323,8 @@
                                 .headers = copy_headers(message),
                                 .body = std::move(message.body())};
         this->is_head_request = message.method() == http::verb::head;
-        // Not given up for other requests from now on, since an upstream may run it.
-        this->context.requests.keep(this, copies_of_served_body * request.body.size(), {});
+        this->served_bytes = copies_of_served_body * request.body.size();
+        this->keep_served_request();
         this->watch_requester();
         this->current_exchange = std::make_shared<exchange>(this->context, std::move(request),
                                                             this->make_responder(), this->arrival);
@@ -509,11 +520,35 @@
     {
         this->queued_bytes += bytes.size();
         this->output.push_back(std::move(bytes));
+        this->keep_output();
         if (this->output.size() == 1) {
             this->write_next();
         }
     }
 
+    /** Accounts for the bytes that the requester has not read yet. The requester with most of them loses its
+     * connection if there is no memory for all; not before the caller has returned, who still writes. */
+    void keep_output()
+    {
+        if (this->queued_bytes <= small_output_bytes) {
+            this->context.output.release(this);
+            return;
+        }
+        const auto give_up = [kept = this->owner.weak_from_this(), this] {
+            asio::post(this->context.io, [kept, this] {
+                const std::shared_ptr<front_session> self = kept.lock();
+                if (self != nullptr && this->phase != session_phase::closed) {
+                    core::log_event(core::log_level::warning, "output_memory_full",
+                                    {{"bytes", static_cast<long long>(this->queued_bytes)}});
+                    this->close();
+                }
+            });
+        };
+        if (!this->context.output.keep(this, this->queued_bytes, give_up)) {
+            give_up();
+        }
+    }
+
     void write_next()
     {
         asio::async_write(this->socket, asio::buffer(this->output.front()),
@@ -530,6 +565,7 @@
     {
         this->queued_bytes -= this->output.front().size();
         this->output.pop_front();
+        this->keep_output();
         if (!this->output.empty()) {
             this->write_next();
             return;
@@ -549,6 +585,7 @@
     std::shared_ptr<exchange> current_exchange;
     std::deque<std::string> output;
     std::size_t queued_bytes = 0;
+    std::size_t served_bytes = 0; ///< Memory of the body of the request that is served.
     core::steady_time arrival;
     std::array<char, 4096> discarded_input{}; ///< Receives input that is read only to be dropped. @see linger
     std::function<void()> on_closed;
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -55,6 +55,8 @@
 constexpr std::size_t response_memory_divisor = 8;
 // Part of the memory that requests may take which are being read or served.
 constexpr std::size_t request_memory_divisor = 4;
+// Part of the memory that bytes may take which requesters have not read yet.
+constexpr std::size_t output_memory_divisor = 8;
 constexpr std::size_t bytes_per_mb = 1U << 20U;
 
 tcp::endpoint make_endpoint(const settings::endpoint_text& text)
@@ -79,6 +81,7 @@
                   .limits = this->limits,
                   .requests = this->requests,
                   .responses = this->responses,
+                  .output = this->output,
                   .retries = traffic::retry_budget(
                       traffic::retry_budget_options{.earned_per_success = this->options.settings.retry.share,
                                                     .maximum = this->options.settings.retry.burst})},
@@ -89,6 +92,7 @@
                   .utilization = this->options.settings.upstream_limits.utilization}),
           requests(this->part_of_memory(request_memory_divisor)),
           responses(this->part_of_memory(response_memory_divisor)),
+          output(this->part_of_memory(output_memory_divisor)),
           crashes(this->io, {.on_crash =
                                  [this](const std::string& crash_id, const prompt_parts& prompt) {
                                      this->control.post([this, crash_id, prompt] {
@@ -576,6 +580,7 @@
     upstream_limits limits;
     memory_account requests;
     memory_account responses;
+    memory_account output;
     answered_parts answered;
     crash_watch crashes;
     quarantine_book quarantine; ///< Control thread only.
--- a/tests/gateway/loopback_gateway.cpp
+++ b/tests/gateway/loopback_gateway.cpp
@@ -230,7 +230,8 @@
                                               .answered = this->answered,
                                               .limits = this->limits,
                                               .requests = this->requests,
-                                              .responses = this->responses},
+                                              .responses = this->responses,
+                                              .output = this->output},
           ledger(budget::grant_pool::object_key(0))
     {
         const auto stored =
@@ -297,6 +298,7 @@
                                      }}};
     gateway::memory_account requests{std::size_t{64} << 20U};
     gateway::memory_account responses;
+    gateway::memory_account output{std::size_t{64} << 20U};
     gateway::gateway_context context;
     escrow::ledger_client ledger;
     std::list<std::unique_ptr<scripted_upstream>> upstreams;
--- a/tests/processes/misbehaving_clients_test.cpp
+++ b/tests/processes/misbehaving_clients_test.cpp
@@ -17,26 +17,34 @@
 // Connections of the node itself and what is left of those of a crowd.
 constexpr std::size_t descriptors_afterwards = 64;
 
+const std::string slow_answer = "/status/slow";
+const std::string large_answer = "/status/large";
+constexpr std::size_t large_answer_bytes = std::size_t{6} << 20U;
+
 /** A gateway process with one upstream and lowered limits. */
 class attacked_node {
 public:
-    attacked_node()
-        : notes(this->directory.path + "/record.txt"), store(this->notes),
-          upstream(this->store, this->notes, {.id = "i-desk-1", .service = "desk", .slots = 6},
+    explicit attacked_node(int memory_mb_to_use = memory_mb, int descriptors_to_use = descriptors)
+        : memory_limit_mb(memory_mb_to_use), notes(this->directory.path + "/record.txt"), store(this->notes),
+          upstream(this->store, this->notes, {.id = "i-desk-1", .service = "desk", .slots = 1000},
                    [](stage::channel& to, stage::request& received) {
-                       return to.write(stage::head_of_success(received, "text/plain") +
-                                       "Content-Length: 4\r\n\r\nopen");
+                       if (received.target == slow_answer) {
+                           std::this_thread::sleep_for(3s);
+                       }
+                       const std::size_t size = received.target == large_answer ? large_answer_bytes : 4;
+                       return to.write(stage::head_of_success(received, "text/plain") + "Content-Length: " +
+                                       std::to_string(size) + "\r\n\r\n" + std::string(size, 'o'));
                    })
     {
         Json::Value configuration = stage::small_configuration();
         configuration["limits"]["headerBytes"] = 4096;
         this->store.set("config", "main", configuration);
-        this->node =
-            std::make_unique<gateway_process>(gateway_process_options{.id = "node-1",
-                                                                      .store_port = this->store.port(),
-                                                                      .directory = this->directory.path,
-                                                                      .memory_mb = memory_mb,
-                                                                      .maximum_descriptors = descriptors});
+        this->node = std::make_unique<gateway_process>(
+            gateway_process_options{.id = "node-1",
+                                    .store_port = this->store.port(),
+                                    .directory = this->directory.path,
+                                    .memory_mb = memory_mb_to_use,
+                                    .maximum_descriptors = descriptors_to_use});
         cr_assert(this->node->wait_ready(15s), "%s", this->node->describe_end().c_str());
         cr_assert_eq(this->ask(), 200, "before the crowd");
     }
@@ -69,7 +77,7 @@
     {
         cr_assert(this->node->is_running(), "%s", this->node->describe_end().c_str());
         cr_expect_eq(this->ask(), 200, "an ordinary request is not answered");
-        cr_expect_leq(this->node->peak_kilobytes(), memory_mb * 1024L);
+        cr_expect_leq(this->node->peak_kilobytes(), this->memory_limit_mb * 1024L);
     }
 
     void check_descriptors()
@@ -77,6 +85,7 @@
         cr_expect_leq(this->node->open_descriptors(), descriptors_afterwards);
     }
 
+    const int memory_limit_mb;
     const temporary_directory directory;
     stage::record notes;
     stage::store store;
@@ -174,3 +183,19 @@
     const auto held = flood_together(clients, target.node->requester_port(), "", "", 0);
     target.check();
 }
+
+// Guards against complete answers to clients that never read, which fill a node's memory together.
+Test(misbehaving_clients, answers_that_nobody_reads, .timeout = 120)
+{
+    constexpr std::size_t clients = 24;
+    attacked_node target;
+    std::vector<std::unique_ptr<stage::channel>> held;
+    for (std::size_t index = 0; index < clients; ++index) {
+        constexpr int small_receive_buffer = 8192;
+        held.push_back(stage::channel::connect(target.node->requester_port(), small_receive_buffer));
+        held.back()->write(stage::request_text(
+            {.path = large_answer, .method = "GET", .attempt_id = "c" + std::to_string(index)}));
+        held.back()->wait_readable(5s); // The answer has begun, so that the node has all of it.
+    }
+    target.check();
+}
