Bound the memory of requests that are sent ahead of answers

What callers would see: clients that send requests ahead on many connections end a node.

Cause: each connection read 64 KB ahead while a request was served, and nothing bounded the sum.

Change: what is read ahead counts in the account of requests. While that is full, no connection reads further ahead than one piece of 4 KB, by which a requester that leaves is noticed.

Evidence: misbehaving_clients/requests_sent_ahead_of_answers, 400 clients with 60 KB each at a node of 32 MB, failed before by the peak of memory and holds now.

--- a/modules/gateway/http/front_session.cpp
+++ b/modules/gateway/http/front_session.cpp
@@ -433,7 +433,10 @@
 
     void watch_requester()
     {
-        if (this->is_watching || this->buffer.size() >= maximum_read_ahead_bytes) {
+        const bool may_read_ahead =
+            this->buffer.size() == 0 ||
+            (this->buffer.size() < maximum_read_ahead_bytes && !this->context.requests.is_full());
+        if (this->is_watching || !may_read_ahead) {
             return;
         }
         this->is_watching = true;
@@ -462,6 +465,7 @@
         this->socket.non_blocking(true, failure);
         const std::size_t count = this->socket.read_some(this->buffer.prepare(read_size), failure);
         this->buffer.commit(count);
+        this->keep_served_request();
         if (failure && failure != asio::error::would_block) {
             this->close();
             return;
--- a/tests/processes/misbehaving_clients_test.cpp
+++ b/tests/processes/misbehaving_clients_test.cpp
@@ -199,3 +199,18 @@
     }
     target.check();
 }
+
+// Guards against requests that are sent ahead on many connections and fill a node's memory together.
+Test(misbehaving_clients, requests_sent_ahead_of_answers, .timeout = 120)
+{
+    constexpr std::size_t clients = 400;
+    constexpr int small_memory_mb = 32;
+    constexpr int many_descriptors = 1500;
+    constexpr std::size_t bytes_ahead = std::size_t{60} << 10U;
+    attacked_node target(small_memory_mb, many_descriptors);
+    const std::string first = stage::request_text({.path = slow_answer, .method = "GET", .attempt_id = "d1"});
+    const std::string ahead = stage::request_text({.path = "/status/1", .method = "GET", .attempt_id = "d2"});
+    const auto held = flood_together(clients, target.node->requester_port(), first, ahead, bytes_ahead);
+    std::this_thread::sleep_for(2s); // The kernel holds some of the requests for the node.
+    target.check();
+}
