Process tests: a peak of memory that cannot be read is a failure

Read in the diff, not seen: without the peak in /proc the check would have held. The check now names the peak.

--- a/tests/processes/misbehaving_clients_test.cpp
+++ b/tests/processes/misbehaving_clients_test.cpp
@@ -77,7 +77,9 @@
     {
         cr_assert(this->node->is_running(), "%s", this->node->describe_end().c_str());
         cr_expect_eq(this->ask(), 200, "an ordinary request is not answered");
-        cr_expect_leq(this->node->peak_kilobytes(), this->memory_limit_mb * 1024L);
+        const long peak = this->node->peak_kilobytes();
+        cr_expect_gt(peak, 0, "the peak of memory cannot be read");
+        cr_expect_leq(peak, this->memory_limit_mb * 1024L, "%ld kB", peak);
     }
 
     void check_descriptors()
