Do not take a list that makes no progress for a whole one

What callers saw: upstreams that run count as gone, so nobody is served by them, when a list of the store ends at a page from which no further page can be asked for.

Cause: object_api::list ended without an error when a page brought no further name, and everything that follows a list (upstreams, members, roll-outs, crash reports) removes what a full list lacks. "Not read" became "gone". Two names that follow each other made it read the same pages for ever.

Change: such a list, and one whose later page is refused with a 4xx, is partial. A partial list adds what it holds and removes nothing; the node is ready with it, follows changes by the watch from the first page's revision and lists again every 10 s. A node with a partial list answers no polls of other nodes for that kind, and watches the store itself.

--- a/modules/gateway/control/fleet_view.cpp
+++ b/modules/gateway/control/fleet_view.cpp
@@ -195,7 +195,7 @@
         const std::lock_guard lock(source.mutex);
         source.known_revision = this->feeds[kind].revision();
     }
-    if (!received.batch.changed.empty() || received.is_full_list) {
+    if (!received.batch.changed.empty() || received.is_full_list || received.is_partial_list) {
         this->apply(kind, received);
         this->relay.publish(this->options.time.steady());
     }
@@ -263,7 +263,8 @@
         // While the object API does not answer, one kind of call is enough to notice its return.
         const bool is_first = kind == feed_kind::configuration;
         const bool is_reachable = !this->sources[feed_kind::configuration].is_lost;
-        this->sources[kind].follower->set_active(must_watch && (is_first || is_reachable));
+        const bool must_watch_kind = must_watch || this->feeds[kind].is_partial();
+        this->sources[kind].follower->set_active(must_watch_kind && (is_first || is_reachable));
     }
 }
 
--- a/modules/gateway/control/object_follower.cpp
+++ b/modules/gateway/control/object_follower.cpp
@@ -8,6 +8,8 @@
 
 // The wait of a call that only shows whether the object API answers.
 constexpr std::chrono::milliseconds confirming_wait{1};
+// Pause before a list is tried again that could not be read to its end; changes are followed meanwhile.
+constexpr std::chrono::milliseconds partial_list_interval{10000};
 
 } // namespace
 
@@ -94,6 +96,9 @@
     // The control thread may not have applied the last batch yet.
     const std::optional<platform::object_version> known =
         this->must_list ? std::nullopt : std::max(this->options.known_revision(), this->received_revision);
+    if (known && this->list_again_at && std::chrono::steady_clock::now() >= *this->list_again_at) {
+        return this->list_again(*known);
+    }
     // The first call after a failure or a sleep does not wait for changes, so that contact is known at once.
     // Else it would be dated by the next change, whose removals would then be held as after an outage.
     const std::chrono::milliseconds wait = this->must_confirm ? confirming_wait : pace.watch_wait;
@@ -104,8 +109,32 @@
     if (!batch) {
         return tl::unexpected(batch.error());
     }
-    return followed_batch{
-        .batch = std::move(*batch), .is_full_list = !known.has_value(), .after = known.value_or(0)};
+    const bool is_partial_list = !known && batch->is_partial;
+    if (!known) {
+        this->list_again_at.reset();
+    }
+    if (is_partial_list) {
+        this->list_again_at = std::chrono::steady_clock::now() + partial_list_interval;
+    }
+    return followed_batch{.batch = std::move(*batch),
+                          .is_full_list = !known && !is_partial_list,
+                          .is_partial_list = is_partial_list,
+                          .after = known.value_or(0)};
+}
+
+core::result<followed_batch> object_follower::list_again(platform::object_version known)
+{
+    this->list_again_at = std::chrono::steady_clock::now() + partial_list_interval;
+    core::result<platform::watch_batch> batch = this->options.store.list(this->options.prefix);
+    if (!batch) {
+        return tl::unexpected(batch.error());
+    }
+    if (batch->is_partial) {
+        // Objects behind the unreadable part are known by their changes alone, so none may be skipped.
+        return followed_batch{.batch = {.revision = known, .changed = {}}, .after = known};
+    }
+    this->list_again_at.reset();
+    return followed_batch{.batch = std::move(*batch), .is_full_list = true};
 }
 
 void object_follower::pause(std::chrono::milliseconds length)
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -18,6 +18,7 @@
 struct followed_batch {
     platform::watch_batch batch;
     bool is_full_list = false;        ///< Whether the batch contains every existing object below the prefix.
+    bool is_partial_list = false;     ///< Whether the batch is a list that could not be read to its end.
     platform::object_version after{}; ///< Revision after which the batch contains every change.
     /** Start of the sender's uninterrupted contact with the object API. Empty if unknown. */
     std::optional<core::steady_time> connected_since = std::nullopt;
@@ -50,7 +51,7 @@
 
     A watch starts from the revision that the node knows, whoever it has it from. After a failed call the
     follower resumes from there. It lists the objects again when the store no longer keeps the changes
-    since that revision.
+    since that revision, and from time to time after a list that could not be read to its end.
 */
 class object_follower {
 public:
@@ -72,6 +73,7 @@
     void run();
     void follow_once();
     core::result<followed_batch> read_next(const follower_pace& pace);
+    core::result<followed_batch> list_again(platform::object_version known);
     void pause(std::chrono::milliseconds length);
     void await_activation();
 
@@ -81,6 +83,7 @@
     bool must_list = false;
     bool must_confirm = true;                                  ///< Whether the next watch returns at once.
     std::optional<platform::object_version> received_revision; ///< Revision of the last batch.
+    std::optional<core::steady_time> list_again_at;            ///< Set after a partial list.
     std::chrono::milliseconds next_retry_delay;
     std::mutex mutex;
     std::condition_variable wake;
--- a/modules/gateway/relay/object_feed.cpp
+++ b/modules/gateway/relay/object_feed.cpp
@@ -12,11 +12,12 @@
 bool object_feed::accept(const followed_batch& received)
 {
     const platform::object_version next = received.batch.revision;
-    if (this->held_revision && next <= *this->held_revision) {
+    const bool completes = this->holds_partial_list && received.is_full_list;
+    if (this->held_revision && (completes ? next < *this->held_revision : next <= *this->held_revision)) {
         return false;
     }
-    const bool leaves_gap =
-        !received.is_full_list && (!this->held_revision || received.after > *this->held_revision);
+    const bool is_list = received.is_full_list || received.is_partial_list;
+    const bool leaves_gap = !is_list && (!this->held_revision || received.after > *this->held_revision);
     if (leaves_gap) {
         return false;
     }
@@ -26,6 +27,7 @@
     else {
         this->apply_changes(received);
     }
+    this->holds_partial_list = received.is_partial_list || (this->holds_partial_list && !completes);
     this->held_revision = next;
     return true;
 }
--- a/modules/gateway/relay/object_feed.h
+++ b/modules/gateway/relay/object_feed.h
@@ -29,6 +29,13 @@
     /** Takes over a batch. Returns whether it raised the revision. */
     bool accept(const followed_batch& received);
 
+    /** Returns whether objects may exist that are not known, since a list could not be read to its end. Other
+     * nodes are sent nothing then, as they would take those objects for removed. */
+    bool is_partial() const noexcept
+    {
+        return this->holds_partial_list;
+    }
+
     /** Returns the revision of the objects, or nothing before the first batch. */
     std::optional<platform::object_version> revision() const noexcept
     {
@@ -38,7 +45,7 @@
     /** Returns whether an object has changed since a revision that another node knows. */
     bool has_changed_since(std::optional<platform::object_version> known) const noexcept
     {
-        return this->held_revision && (!known || *known < this->last_change);
+        return this->held_revision && !this->holds_partial_list && (!known || *known < this->last_change);
     }
 
     /** Returns what a node that knows a revision lacks, or nothing if no object has changed since. A node
@@ -68,6 +75,7 @@
     platform::object_version complete_since = 0; ///< All removals after this revision are kept.
     platform::object_version last_change = 0;    ///< Revision of the newest batch with changes.
     std::optional<platform::object_version> held_revision;
+    bool holds_partial_list = false;
     std::optional<store_contact> last_contact;
 };
 
--- a/modules/gateway/relay/relay_hub.cpp
+++ b/modules/gateway/relay/relay_hub.cpp
@@ -14,7 +14,7 @@
 
 std::optional<feed_status> status_of(const object_feed& feed, core::steady_time now)
 {
-    if (!feed.revision() || !feed.contact()) {
+    if (!feed.revision() || !feed.contact() || feed.is_partial()) {
         return std::nullopt;
     }
     return feed_status{.revision = *feed.revision(),
--- a/modules/platform/objects/object_store.h
+++ b/modules/platform/objects/object_store.h
@@ -33,6 +33,8 @@
 struct watch_batch {
     object_version revision = 0; ///< Pass this as `after` to the next watch.
     std::vector<object> changed; ///< Latest state of each object; a removed one has a null value.
+    /** Whether a list could not be read to its end, so that objects may exist which it lacks. */
+    bool is_partial = false;
 };
 
 /**
@@ -62,7 +64,7 @@
     /** Removes an object if its version equals `expected`. */
     std::function<core::result<put_outcome>(const std::string& key, object_version expected)> remove;
 
-    /** Lists all objects whose key starts with `prefix`. */
+    /** Lists all objects whose key starts with `prefix`, or those before a part that cannot be read. */
     std::function<core::result<watch_batch>(const std::string& prefix)> list;
 
     /**
--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -411,6 +411,16 @@
     this->listening = std::make_unique<server>([this](channel& from) { this->serve(from); });
 }
 
+void store::forget_history()
+{
+    {
+        const std::lock_guard lock(this->mutex);
+        this->oldest_watched = ++this->revision;
+        this->history.clear();
+    }
+    this->changed.notify_all();
+}
+
 void store::stop()
 {
     {
@@ -531,6 +541,9 @@
     Json::Value batch;
     batch["events"] = Json::Value(Json::arrayValue);
     while (true) {
+        if (after < this->oldest_watched) {
+            return {410, Json::Value(Json::objectValue)};
+        }
         for (const event& entry : this->history) {
             if (entry.kind == kind && entry.revision > after) {
                 Json::Value item;
--- a/review/stage/stage.hh
+++ b/review/stage/stage.hh
@@ -123,6 +123,8 @@
     /** Writes an object as an operator or an engine does. Returns the revision. */
     std::int64_t set(const std::string& kind, const std::string& name, const Json::Value& spec);
     Json::Value get(const std::string& kind, const std::string& name);
+    /** Keeps no earlier changes, so that watches from there get 410. */
+    void forget_history();
     void stop();
 
     /** A text of a spec that the store's answers hold as the escape of one half of a surrogate pair. */
@@ -148,6 +150,7 @@
     std::mutex mutex;
     std::condition_variable changed;
     std::int64_t revision = 100;
+    std::int64_t oldest_watched = 0; ///< Watches from earlier revisions get 410.
     bool is_stopping = false;
     std::map<std::string, std::map<std::string, Json::Value>> kinds;
     std::deque<event> history;
--- a/tests/gateway/relay/object_feed_test.cpp
+++ b/tests/gateway/relay/object_feed_test.cpp
@@ -99,3 +99,24 @@
     cr_assert_not(recent->is_full_list);
     cr_assert_eq(recent->batch.changed.size(), 100U);
 }
+
+// Guards against objects that count as removed, at this node or at others, since a list was not read to its
+// end.
+Test(object_feed, partial_list_removes_nothing_and_is_not_passed_on)
+{
+    object_feed feed;
+    cr_assert(feed.accept(listing(10, {stored("a", 9), stored("b", 10)})));
+    followed_batch partial = listing(15, {stored("a", 12)});
+    partial.is_full_list = false;
+    partial.is_partial_list = true;
+    cr_assert(feed.accept(partial));
+    cr_expect(feed.is_partial());
+    cr_expect_not(feed.changes_since(std::nullopt).has_value());
+    cr_expect_not(feed.has_changed_since(std::nullopt));
+    cr_assert(feed.accept(changes(15, 16, {stored("c", 16)})));
+    cr_expect(feed.is_partial());
+    // A list that ends is taken over even if nothing has changed since.
+    cr_assert(feed.accept(listing(16, {stored("a", 12), stored("b", 10), stored("c", 16)})));
+    cr_expect_not(feed.is_partial());
+    cr_expect_eq(feed.changes_since(std::nullopt)->batch.changed.size(), 3U);
+}
--- a/tests/platform/paged_list_test.cpp
+++ b/tests/platform/paged_list_test.cpp
@@ -31,7 +31,8 @@
     return R"({"items":[)" + items + R"(],"at":9,"hasMore":)" + (has_more ? "true" : "false") + "}";
 }
 
-/** An object API that answers each call with what a function makes of the decoded `afterRev`. */
+/** An object API that answers each call with what a function makes of the decoded `afterRev`; 400 for
+ * nothing. */
 class paging_api {
 public:
     explicit paging_api(std::function<std::string(const std::string& after)> answer_to_use)
@@ -41,7 +42,9 @@
         const auto on_any = [this](const httplib::Request& request, httplib::Response& response) {
             const std::lock_guard lock(this->mutex);
             this->targets.push_back(request.method + " " + request.path);
-            response.set_content(this->answer(request.get_param_value("afterRev")), "application/json");
+            const std::string content = this->answer(request.get_param_value("afterRev"));
+            response.status = content.empty() ? 400 : 200;
+            response.set_content(content, "application/json");
         };
         this->server.Get(".*", on_any);
         this->server.Put(".*", on_any);
@@ -53,7 +56,7 @@
     }
     ~paging_api()
     {
-        this->client->interrupt();
+        this->client.reset(); // The server waits for its open connections.
         this->server.stop();
         this->thread.join();
     }
@@ -128,3 +131,51 @@
         cr_expect(api.calls() == expected, "%.20s", odd.c_str());
     }
 }
+
+// Guards against a list without progress that counts as whole, so that what was not read counts as gone.
+Test(paged_list, list_without_progress_is_partial)
+{
+    const std::string a = entry("a");
+    const std::string nameless = R"({"metadata":{"name":7},"spec":{}}, "text", {"metadata":{"name":""}})";
+    const std::vector<std::function<std::string(const std::string&)>> stores{
+        [&](const std::string& after) { return after.empty() ? page(a, true) : page(nameless, true); },
+        [&](const std::string& after) { return after.empty() ? page(a, true) : page("", true); },
+        [&](const std::string&) { return page(a, true); },
+        // The two names follow each other for ever.
+        [&](const std::string& after) { return page(after == "a" ? entry("b") : a, true); },
+    };
+    for (const auto& answer : stores) {
+        paging_api api(answer);
+        const auto batch = api.store().list("servers/");
+        cr_assert(batch.has_value());
+        cr_expect(batch->is_partial);
+        cr_expect_geq(batch->changed.size(), 1U);
+        cr_expect_leq(api.calls().size(), 3U);
+    }
+    paging_api api([&](const std::string&) { return page(nameless, true); });
+    cr_expect(api.store().list("servers/")->is_partial);
+}
+
+// Guards against a later page that is refused for good and keeps a node from the entries before it.
+Test(paged_list, refused_page_leaves_a_partial_list)
+{
+    paging_api api([](const std::string& after) { return after.empty() ? page(entry("a"), true) : ""; });
+    const auto batch = api.store().list("servers/");
+    cr_assert(batch.has_value());
+    cr_expect(batch->is_partial);
+    cr_expect_eq(batch->changed.size(), 1U);
+}
+
+// Guards against a change between two pages that neither the list nor the watch after it shows.
+Test(paged_list, watch_starts_at_the_first_page)
+{
+    int at = 20;
+    paging_api api([&at](const std::string& after) {
+        const std::string text = after.empty() ? page(entry("b"), true) : page(entry("c"), false);
+        return std::string(text).replace(text.find("\"at\":9"), 6, "\"at\":" + std::to_string(at++));
+    });
+    const auto batch = api.store().list("servers/");
+    cr_expect_eq(batch->revision, 20U);
+    cr_expect_eq(batch->changed.size(), 2U);
+    cr_expect_not(batch->is_partial);
+}
