Tell entries apart whose names hold a slash

What callers could see: a running upstream `a` is dropped when an entry of another writer stands in the list under a name such as `x/a`.

Evidence: odd_entries/name_with_a_slash_is_another_name failed before (no upstream known) and passes; odd_entries, upstream_tracker, member_tracker, quarantine and paged_list: 26 of 26; foreign_entries: 3 of 3.

--- a/modules/gateway/control/member_tracker.cpp
+++ b/modules/gateway/control/member_tracker.cpp
@@ -15,11 +15,6 @@
 // Holders of processes beyond these stay outstanding until their own node closes them.
 constexpr std::size_t maximum_ended_processes = 1024;
 
-std::string id_of(const std::string& key)
-{
-    return key.substr(key.rfind('/') + 1);
-}
-
 } // namespace
 
 Json::Value to_json(const member& entry)
@@ -37,7 +32,7 @@
 core::result<member> member_from_json(const std::string& key, const Json::Value& value)
 {
     constexpr std::int64_t maximum_port = 65535;
-    member entry{.id = id_of(key), .address = {}, .port = 0, .token = {}};
+    member entry{.id = platform::object_name(key), .address = {}, .port = 0, .token = {}};
     const std::int64_t port = value.isObject() ? core::integer_member(value, "port") : 0;
     if (port <= 0 || port > maximum_port) {
         return core::failure(core::error_code::invalid_argument,
@@ -83,7 +78,7 @@
         this->entries.clear();
     }
     for (const platform::object& object : received.batch.changed) {
-        const std::string id = id_of(object.key);
+        const std::string id = platform::object_name(object.key);
         if (object.value.isNull()) {
             this->entries.erase(id);
             continue;
--- a/modules/gateway/control/upstream_tracker.cpp
+++ b/modules/gateway/control/upstream_tracker.cpp
@@ -11,11 +11,6 @@
 // Running upstreams register again within two seconds after the object API is reachable again.
 constexpr std::chrono::milliseconds registration_time{2200};
 
-std::string id_of(const std::string& key)
-{
-    return key.substr(key.rfind('/') + 1);
-}
-
 } // namespace
 
 upstream_tracker::upstream_tracker(upstream_reader reader_to_use) : read(std::move(reader_to_use)) {}
@@ -32,7 +27,7 @@
     std::set<std::string> seen;
     std::set<std::string> seen_unusable;
     for (const platform::object& object : received.batch.changed) {
-        const std::string id = id_of(object.key);
+        const std::string id = platform::object_name(object.key);
         if (object.value.isNull()) {
             has_changed = this->unusable.erase(id) > 0 || has_changed;
             has_changed = this->remove(id, now) || has_changed;
--- a/modules/gateway/quarantine/quarantine_book.cpp
+++ b/modules/gateway/quarantine/quarantine_book.cpp
@@ -31,7 +31,7 @@
     }
     bool has_own = !received.is_full_list;
     for (const platform::object& object : received.batch.changed) {
-        const std::string node = object.key.substr(object.key.rfind('/') + 1);
+        const std::string node = platform::object_name(object.key);
         core::result<crash_report> report = crash_report_from_json(object.value);
         if (node == this->options.node) {
             has_own = !object.value.isNull();
--- a/modules/platform/objects/object_store.h
+++ b/modules/platform/objects/object_store.h
@@ -22,6 +22,12 @@
     Json::Value status; ///< Reported status, where the API stores it separately; otherwise null.
 };
 
+/** Returns the name of an object below its kind, the first part of its key. Names may hold slashes. */
+inline std::string object_name(const std::string& key)
+{
+    return key.substr(key.find('/') + 1);
+}
+
 /** Result of a conditional write. @see object_store::put */
 struct put_outcome {
     bool applied = false;          ///< False on a version conflict.
--- a/tests/platform/odd_entries_test.cpp
+++ b/tests/platform/odd_entries_test.cpp
@@ -154,6 +154,21 @@
     cr_assert_eq(tracker.table()->unusable_entries, 0U);
 }
 
+// Guards against an odd entry that takes the place of a sound one, since its name ends with a slash and that
+// name.
+Test(odd_entries, name_with_a_slash_is_another_name)
+{
+    scripted_api api;
+    api.listed = R"({"items":[)" + sound("a") + "," + entry("x/a", R"("address":7)") + R"(],"at":9})";
+    adapter::object_api client({.address = "127.0.0.1", .port = api.port});
+    const auto batch = client.make_store().list("servers/");
+    cr_assert(batch.has_value());
+    gateway::upstream_tracker tracker(adapter::decode_upstream);
+    tracker.apply({.batch = *batch, .is_full_list = true}, start);
+    cr_expect_eq(count(tracker), 1U);
+    cr_expect_eq(tracker.table()->unusable_entries, 1U);
+}
+
 // Guards against a list that never ends because its page has no further name.
 Test(odd_entries, page_without_names_ends_the_list)
 {
