Hold back SIGHUP, SIGINT and SIGTERM until a node handles them

What callers saw: nodes that ended by themselves when a signal came soon after their start, and were missing.

Cause: the handlers are set when the node is constructed, after the libraries, the command line, the settings and the log; until then the default action of a signal ends the process.

Change: a function in .preinit_array blocks the three signals for `gateway` and `serve` before the libraries are initialised. The node lets its traffic thread have them once its handlers are set, so a signal that came meanwhile is handled then: SIGHUP reads the settings again, SIGTERM stops with status 0. The operator's commands are not touched.

--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -14,6 +14,7 @@
 #include "core/log/log.h"
 #include "core/threads/event_loop.h"
 #include "core/threads/guarded_run.h"
+#include "core/threads/held_signals.h"
 #include "core/threads/published.h"
 #include "core/threads/worker_pool.h"
 #include "core/time/clock.h"
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -138,6 +138,7 @@
                          {"availability_zone", this->options.settings.availability_zone},
                          {"version", SAMPHIREWAY_VERSION}});
         this->await_signal();
+        core::release_signals();
         this->sweep();
         this->check_waiters();
         this->check_rollouts();
--- a/source/main.cpp
+++ b/source/main.cpp
@@ -1,6 +1,30 @@
 #include "cli/cli.h"
+#include "core/threads/held_signals.h"
 #include "platform/gateway_command.h"
 
+#include <string_view>
+
+namespace {
+
+/** Holds back the signals that a node handles, before the libraries are initialised. */
+__attribute__((no_sanitize("address", "undefined"))) void hold_signals_of_a_node(int argc, char** argv,
+                                                                                char** /*environment*/)
+{
+    if (argc < 2) {
+        return;
+    }
+    const std::string_view subcommand = argv[1];
+    if (subcommand == "gateway" || subcommand == "serve") {
+        samphireway::core::hold_signals();
+    }
+}
+
+// The loader calls the functions in this section first.
+__attribute__((section(".preinit_array"), used)) void (*const first_initialiser)(int, char**, char**) =
+    hold_signals_of_a_node;
+
+} // namespace
+
 int main(int argc, char** argv)
 {
     return samphireway::cli::run_application(
--- a/tests/processes/gateway_process.cpp
+++ b/tests/processes/gateway_process.cpp
@@ -78,7 +78,10 @@
     : options(std::move(options_to_use)), front(reserve_port()), probes(reserve_port()),
       internal(reserve_port())
 {
-    this->start();
+    this->write_settings();
+    if (this->options.starts_at_once) {
+        this->start();
+    }
 }
 
 gateway_process::~gateway_process()
@@ -89,21 +92,24 @@
     }
 }
 
+void gateway_process::write_settings() const
+{
+    std::ofstream(this->settings_path())
+        << "{\"node\": {\"id\": \"" << this->options.id
+        << "\", \"availability_zone\": \"toto\", \"cpu_share\": 0.25, \"link_mbps\": "
+           "1000.0, \"memory_mb\": "
+        << this->options.memory_mb << "},\n\"listen\": {\"requesters\": " << loopback_address(this->front)
+        << ", \"probes\": " << loopback_address(this->probes)
+        << ", \"internal\": " << loopback_address(this->internal)
+        << "},\n\"object_api\": {\"address\": " << loopback_address(this->options.store_port)
+        << "},\n\"rollouts\": {\"exposure_share\": 0.1, \"exposure_slack\": 54},\n"
+        << "\"stop\": {\"grace_ms\": 8000}}\n";
+}
+
 void gateway_process::start()
 {
-    const std::string settings = this->options.directory + "/" + this->options.id + ".json";
+    const std::string settings = this->settings_path();
     const std::string log = this->log_path();
-    std::ofstream(settings) << "{\"node\": {\"id\": \"" << this->options.id
-                            << "\", \"availability_zone\": \"toto\", \"cpu_share\": 0.25, \"link_mbps\": "
-                               "1000.0, \"memory_mb\": "
-                            << this->options.memory_mb
-                            << "},\n\"listen\": {\"requesters\": " << loopback_address(this->front)
-                            << ", \"probes\": " << loopback_address(this->probes)
-                            << ", \"internal\": " << loopback_address(this->internal)
-                            << "},\n\"object_api\": {\"address\": "
-                            << loopback_address(this->options.store_port)
-                            << "},\n\"rollouts\": {\"exposure_share\": 0.1, \"exposure_slack\": 54},\n"
-                            << "\"stop\": {\"grace_ms\": 8000}}\n";
     const pid_t child = ::fork();
     if (child == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // The node ends with the test, also if that is killed.
@@ -142,6 +148,39 @@
     return false;
 }
 
+void gateway_process::signal(int number) const
+{
+    ::kill(this->process, number);
+}
+
+bool gateway_process::wait_log(const std::string& text, milliseconds time) const
+{
+    const auto deadline = std::chrono::steady_clock::now() + time;
+    while (std::chrono::steady_clock::now() < deadline) {
+        std::ifstream log(this->log_path());
+        const std::string lines{std::istreambuf_iterator<char>(log), {}};
+        if (lines.find(text) != std::string::npos) {
+            return true;
+        }
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return false;
+}
+
+bool gateway_process::wait_end(milliseconds time)
+{
+    const auto deadline = std::chrono::steady_clock::now() + time;
+    while (this->is_running() && std::chrono::steady_clock::now() < deadline) {
+        std::this_thread::sleep_for(poll_interval);
+    }
+    return !this->is_running();
+}
+
+bool gateway_process::has_succeeded() const
+{
+    return this->process == 0 && WIFEXITED(this->wait_status) && WEXITSTATUS(this->wait_status) == 0;
+}
+
 bool gateway_process::is_running()
 {
     if (this->process > 0 && ::waitpid(this->process, &this->wait_status, WNOHANG) != 0) {
@@ -162,6 +201,11 @@
     return this->options.id + " ended with " + cause + "; its log ends with\n" + end;
 }
 
+std::string gateway_process::settings_path() const
+{
+    return this->options.directory + "/" + this->options.id + ".json";
+}
+
 std::string gateway_process::log_path() const
 {
     return this->options.directory + "/" + this->options.id + ".log";
--- a/tests/processes/gateway_process.h
+++ b/tests/processes/gateway_process.h
@@ -27,6 +27,7 @@
     std::string directory;
     int memory_mb = 260;
     int maximum_descriptors = 0; ///< Soft and hard limit of the process; 0 leaves the inherited one.
+    bool starts_at_once = true;
 };
 
 /** `samphireway gateway` as a process of its own on loopback addresses; killed with the object. */
@@ -37,9 +38,23 @@
     gateway_process(const gateway_process&) = delete;
     gateway_process& operator=(const gateway_process&) = delete;
 
+    /** Starts the process, unless the constructor has done so. */
+    void start();
+
+    void signal(int number) const;
+
     /** Waits until the process counts as ready. Returns false after the time. */
     bool wait_ready(std::chrono::milliseconds time);
 
+    /** Waits until the log holds a text. Returns false after the time. */
+    bool wait_log(const std::string& text, std::chrono::milliseconds time) const;
+
+    /** Waits until the process has ended. Returns false after the time. */
+    bool wait_end(std::chrono::milliseconds time);
+
+    /** Returns whether the process has ended with status 0. */
+    bool has_succeeded() const;
+
     bool is_running();
 
     /** Returns how the process ended, with the end of its log. */
@@ -60,8 +75,10 @@
         return this->internal;
     }
 
+    std::string settings_path() const;
+
 private:
-    void start();
+    void write_settings() const;
     std::string log_path() const;
 
     const gateway_process_options options;
