Wait for a port that is taken when a node starts

What callers saw: a node that ended at once at its start and did not come back. A port of the settings that lies among the ephemeral ones may be the own end of any outgoing connection.

Cause: run() gave up at the first address that it could not listen on.

Change: while an address is in use or missing, the node tries again every 50 ms and logs port_taken once a second. It opens the probes' port first and the requesters' last, and knows nothing before all are open, so probes say that it is not ready. SIGTERM ends it with status 0 meanwhile. Other failures still end it.

Evidence: starting_nodes/port_that_is_taken_for_a_moment_delays_the_start and node_that_waits_for_a_port_stops failed before (exit code 1, "Address already in use") and pass; three runs of starting_nodes, none failed.

--- a/modules/gateway/http/front_listener.cpp
+++ b/modules/gateway/http/front_listener.cpp
@@ -27,6 +27,9 @@
 
 core::result<void> front_listener::start()
 {
+    if (this->acceptor.is_open()) {
+        return {};
+    }
     core::result<void> listening = listen_on(this->acceptor, this->endpoint, accept_backlog);
     if (!listening) {
         return listening;
--- a/modules/gateway/http/front_listener.h
+++ b/modules/gateway/http/front_listener.h
@@ -13,7 +13,7 @@
 public:
     front_listener(gateway_context& shared, const boost::asio::ip::tcp::endpoint& address);
 
-    /** Starts accepting connections. Fails with `internal` if it cannot listen on the address. */
+    /** Starts accepting connections, unless it has done so. Fails like `listen_on`. */
     core::result<void> start();
 
     /** Closes connections that have no request in progress. New connections are still accepted. */
--- a/modules/gateway/http/internal_server.cpp
+++ b/modules/gateway/http/internal_server.cpp
@@ -108,6 +108,9 @@
 
 core::result<void> internal_server::start()
 {
+    if (this->acceptor.is_open()) {
+        return {};
+    }
     core::result<void> listening = listen_on(this->acceptor, this->endpoint, accept_backlog);
     if (listening) {
         this->accept();
--- a/modules/gateway/http/internal_server.h
+++ b/modules/gateway/http/internal_server.h
@@ -32,7 +32,7 @@
     internal_server(boost::asio::io_context& context, const boost::asio::ip::tcp::endpoint& address,
                     internal_handler handler_to_use);
 
-    /** Starts accepting connections. Fails with `internal` if it cannot listen on the address. */
+    /** Starts accepting connections, unless it has done so. Fails like `listen_on`. */
     core::result<void> start();
 
 private:
--- a/modules/gateway/http/socket_options.cpp
+++ b/modules/gateway/http/socket_options.cpp
@@ -61,9 +61,13 @@
         acceptor.listen(backlog, failure);
     }
     if (failure) {
-        return core::failure(core::error_code::internal, "cannot listen on " + address.address().to_string() +
-                                                             ":" + std::to_string(address.port()) + ": " +
-                                                             failure.message());
+        const bool may_pass = failure == boost::asio::error::address_in_use ||
+                              failure == boost::system::errc::address_not_available;
+        boost::system::error_code ignored; // The reason to report is that of the failed call.
+        acceptor.close(ignored);
+        return core::failure(may_pass ? core::error_code::conflict : core::error_code::internal,
+                             "cannot listen on " + address.address().to_string() + ":" +
+                                 std::to_string(address.port()) + ": " + failure.message());
     }
     return {};
 }
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -48,6 +48,9 @@
 // Before that, the last answers are written to the requesters.
 constexpr milliseconds answer_margin{200};
 constexpr milliseconds registration_retry{500};
+// Pause before a port that another program holds is tried again, and between two log lines about it.
+constexpr milliseconds port_retry_delay{50};
+constexpr milliseconds port_report_interval{1000};
 // Time in which a ledger writer brings new deposits into the ledgers before the next one looks.
 constexpr milliseconds writer_interval{150};
 // Part of the memory that incomplete responses may take. A text that grows is copied, which takes three times
@@ -122,36 +125,66 @@
 
     core::result<void> run()
     {
-        core::result<void> listening = this->front.start();
-        if (listening) {
-            listening = this->probes.start();
+        this->await_signal();
+        core::release_signals();
+        this->open_ports();
+        while (!core::run_guarded("traffic", [this] { this->io.run(); })) {
         }
+        this->stop_control();
+        return this->run_outcome;
+    }
+
+private:
+    /** Opens the ports and starts to serve. Another program may hold one of them for a moment, as the end of
+     * a connection, so tries again until all are open. */
+    void open_ports()
+    {
+        // Requesters connect last; until then probes say that the node is not ready.
+        core::result<void> listening = this->probes.start();
         if (listening) {
             listening = this->internal.start();
         }
-        if (!listening) {
-            this->stop_control();
-            return listening;
+        if (listening) {
+            listening = this->front.start();
+        }
+        if (listening) {
+            this->start_serving();
+            return;
         }
+        if (listening.error().code != core::error_code::conflict) {
+            this->run_outcome = listening;
+            this->io.stop();
+            return;
+        }
+        const core::steady_time now = clock::now();
+        if (now >= this->next_port_report) {
+            this->next_port_report = now + port_report_interval;
+            core::log_event(core::log_level::warning, "port_taken", {{"reason", listening.error().message}});
+            core::flush_buffered_log();
+        }
+        this->port_timer.expires_after(port_retry_delay);
+        this->port_timer.async_wait([this](boost::system::error_code failure) {
+            if (!failure) {
+                this->open_ports();
+            }
+        });
+    }
+
+    void start_serving()
+    {
+        this->is_serving = true;
         core::log_event(core::log_level::info, "started",
                         {{"node", this->options.settings.id},
                          {"availability_zone", this->options.settings.availability_zone},
                          {"version", SAMPHIREWAY_VERSION}});
-        this->await_signal();
-        core::release_signals();
         this->sweep();
         this->check_waiters();
         this->check_rollouts();
         this->control.post([this] { this->tick(); });
         this->view.start();
         this->register_node();
-        while (!core::run_guarded("traffic", [this] { this->io.run(); })) {
-        }
-        this->stop_control();
-        return {};
     }
 
-private:
     budget_supply_options supply_options()
     {
         return budget_supply_options{
@@ -467,6 +500,11 @@
         if (this->context.drain.is_draining()) {
             return;
         }
+        if (!this->is_serving) {
+            core::log_event(core::log_level::info, "stopped", {{"reason", "a port was not free yet"}});
+            this->io.stop();
+            return;
+        }
         const core::steady_time now = clock::now();
         this->context.drain.refuse_from = now + this->options.settings.stop.notice;
         this->exit_at = now + this->options.settings.stop.grace - exit_margin;
@@ -591,11 +629,15 @@
     internal_server probes;
     internal_server internal;
     asio::signal_set signals;
+    asio::steady_timer port_timer{this->io};
     asio::steady_timer sweep_timer;
     asio::steady_timer waiter_timer;
     asio::steady_timer rollout_timer;
     asio::steady_timer drain_timer;
     core::steady_time exit_at;
+    core::steady_time next_port_report;
+    core::result<void> run_outcome;
+    bool is_serving = false;
     bool is_supply_draining = false;
     bool is_budget_closed = false;
     settings_watch settings_file; ///< Control thread only.
--- a/tests/processes/starting_nodes_test.cpp
+++ b/tests/processes/starting_nodes_test.cpp
@@ -1,9 +1,12 @@
 #include "processes/gateway_process.h"
 
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <netinet/in.h>
+#include <sys/socket.h>
 #include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
@@ -33,6 +36,42 @@
     stage::store store{this->notes};
 };
 
+/** A connection of another program whose own end has a given port. */
+class connection_from_port {
+public:
+    explicit connection_from_port(int port, int target_port)
+        : descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        sockaddr_in own = loopback(port);
+        sockaddr_in target = loopback(target_port);
+        this->is_open = ::bind(this->descriptor, reinterpret_cast<sockaddr*>(&own), sizeof own) == 0 &&
+                        ::connect(this->descriptor, reinterpret_cast<sockaddr*>(&target), sizeof target) == 0;
+    }
+    ~connection_from_port()
+    {
+        // After a reset the port is free at once.
+        const linger at_once{.l_onoff = 1, .l_linger = 0};
+        ::setsockopt(this->descriptor, SOL_SOCKET, SO_LINGER, &at_once, sizeof at_once);
+        ::close(this->descriptor);
+    }
+    connection_from_port(const connection_from_port&) = delete;
+    connection_from_port& operator=(const connection_from_port&) = delete;
+
+    bool is_open = false;
+
+private:
+    static sockaddr_in loopback(int port)
+    {
+        sockaddr_in address{};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        return address;
+    }
+
+    const int descriptor;
+};
+
 /** Replaces a file by a pipe, so that its reader waits until the text is written. */
 class file_that_waits {
 public:
@@ -105,3 +144,41 @@
     cr_expect(node.wait_end(8s));
     cr_expect(node.has_succeeded(), "%s", node.describe_end().c_str());
 }
+
+// Guards against a node that ends since one of its ports is the other end of a connection when it starts.
+Test(starting_nodes, port_that_is_taken_for_a_moment_delays_the_start, .timeout = 60)
+{
+    for (const bool is_internal : {false, true}) {
+        small_deployment deployment;
+        gateway_process node({.id = "node-1",
+                              .store_port = deployment.store.port(),
+                              .directory = deployment.directory.path,
+                              .starts_at_once = false});
+        {
+            const connection_from_port other(is_internal ? node.internal_port() : node.requester_port(),
+                                             deployment.store.port());
+            cr_assert(other.is_open);
+            node.start();
+            cr_expect_not(node.wait_ready(2s), "ready without its port");
+            cr_assert(node.is_running(), "%s", node.describe_end().c_str());
+        }
+        cr_expect(node.wait_ready(5s));
+    }
+}
+
+// Guards against a node that cannot be stopped while it waits for a port.
+Test(starting_nodes, node_that_waits_for_a_port_stops, .timeout = 60)
+{
+    small_deployment deployment;
+    gateway_process node({.id = "node-1",
+                          .store_port = deployment.store.port(),
+                          .directory = deployment.directory.path,
+                          .starts_at_once = false});
+    const connection_from_port other(node.requester_port(), deployment.store.port());
+    cr_assert(other.is_open);
+    node.start();
+    std::this_thread::sleep_for(1s);
+    node.signal(SIGTERM);
+    cr_expect(node.wait_end(8s));
+    cr_expect(node.has_succeeded(), "%s", node.describe_end().c_str());
+}
