--- a/tests/processes/starting_nodes_test.cpp
+++ b/tests/processes/starting_nodes_test.cpp
@@ -182,3 +182,21 @@
     cr_expect(node.wait_end(8s));
     cr_expect(node.has_succeeded(), "%s", node.describe_end().c_str());
 }
+
+// Guards against a node that ends since its settings are being replaced when it starts.
+Test(starting_nodes, settings_that_are_being_written_delay_the_start, .timeout = 60)
+{
+    small_deployment deployment;
+    gateway_process node({.id = "node-1",
+                          .store_port = deployment.store.port(),
+                          .directory = deployment.directory.path,
+                          .starts_at_once = false});
+    std::ifstream written(node.settings_path());
+    const std::string text{std::istreambuf_iterator<char>(written), {}};
+    std::ofstream(node.settings_path()) << text.substr(0, text.size() / 2);
+    node.start();
+    std::this_thread::sleep_for(500ms);
+    std::ofstream(node.settings_path()) << text;
+    cr_expect(node.wait_ready(5s));
+    cr_expect(node.is_running(), "%s", node.describe_end().c_str());
+}
