Reach upstreams through other nodes while this node's own links fail

Cause: a node had no way to an upstream but its own links.

Change: upstream_reach takes three connections in a row that fail, each to another upstream, for a cut. While it lasts, connections to upstreams are opened as tunnels: CONNECT at another node's internal address, with that process's token, to the address of a registered upstream. A failed tunnel says nothing of the upstream. A node tries its own links every 0.4 s and goes back after two successes. At most 256 tunnels a node, 32 KB each. In calm nothing is sent. crash_watch waits 0.3 s before a refused connection accuses a prompt, since a node that is cut off would accuse all that it had in flight.

--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -332,6 +332,12 @@
     this->inactivity_timer.cancel();
     if (result == upstream_result::not_connected) {
         ++this->history.failed_connects;
+        if (this->connection->is_tunnelled()) {
+            // Another node may reach the same upstream.
+            this->tried_upstreams.erase(this->current_upstream->id);
+            this->on_attempt_failed("no_tunnel");
+            return;
+        }
         this->context.health.record_failure(this->current_upstream->id, true, clock::now());
         this->context.pool.drop(this->current_upstream->id);
         this->on_attempt_failed("not_connected");
--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -14,6 +14,7 @@
 #include "gateway/quarantine/answered_parts.h"
 #include "gateway/quarantine/crash_watch.h"
 #include "gateway/rollout/rollout_controller.h"
+#include "gateway/tunnel/tunnel_client.h"
 #include "routing/routing.h"
 #include "traffic/retry/retry_budget.h"
 
@@ -33,6 +34,7 @@
 struct gateway_context {
     boost::asio::io_context& io;
     const std::string& availability_zone;
+    const std::string node = {}; ///< Id of this node.
     const header_dialect& dialect;
     budget_access& budget;
     rollout_controller& rollouts;
@@ -49,7 +51,15 @@
 
     blackboard board = {};
     routing::health_table health{routing::health_options{}};
-    upstream_pool pool{this->io};
+    tunnel_client tunnels{this->io,
+                          {.node = this->node,
+                           .availability_zone = this->availability_zone,
+                           .members = [this] { return this->board.members.read(); },
+                           .upstreams =
+                               [this] {
+                                   return this->board.upstreams.read();
+                               }}};
+    upstream_pool pool{this->io, &this->tunnels};
     load_tracker loads = {};
     upstream_notices notices = {};
     drain_state drain = {};
--- a/modules/gateway/http/internal_server.cpp
+++ b/modules/gateway/http/internal_server.cpp
@@ -1,6 +1,7 @@
 #include "gateway/http/internal_server.h"
 
 #include "gateway/http/socket_options.h"
+#include "gateway/tunnel/tunnel_call.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -29,8 +30,10 @@
 /** A connection from the platform or from another node. */
 class internal_session : public std::enable_shared_from_this<internal_session> {
 public:
-    internal_session(tcp::socket connected, const internal_handler& handler_to_use)
-        : socket(std::move(connected)), timer(this->socket.get_executor()), handler(handler_to_use)
+    internal_session(tcp::socket connected, const internal_handler& handler_to_use,
+                     const tunnel_handler& on_tunnel_to_use)
+        : socket(std::move(connected)), timer(this->socket.get_executor()), handler(handler_to_use),
+          on_tunnel(on_tunnel_to_use)
     {
     }
 
@@ -65,6 +68,10 @@
         for (const auto& field : received) {
             request.headers.emplace_back(std::string(field.name_string()), std::string(field.value()));
         }
+        if (this->on_tunnel && request.method == tunnel_method && this->buffer.size() == 0) {
+            this->on_tunnel(request, std::move(this->socket));
+            return;
+        }
         this->handler(request, [self = this->shared_from_this()](internal_response result) {
             self->answer(std::move(result));
         });
@@ -93,6 +100,7 @@
     tcp::socket socket;
     boost::asio::steady_timer timer;
     const internal_handler& handler;
+    const tunnel_handler& on_tunnel;
     boost::beast::flat_buffer buffer{maximum_unparsed_bytes};
     std::optional<http::request_parser<http::string_body>> parser;
     http::response<http::string_body> response;
@@ -101,8 +109,9 @@
 } // namespace
 
 internal_server::internal_server(boost::asio::io_context& context, const tcp::endpoint& address,
-                                 internal_handler handler_to_use)
-    : io(context), endpoint(address), handler(std::move(handler_to_use)), acceptor(context)
+                                 internal_handler handler_to_use, tunnel_handler on_tunnel_to_use)
+    : io(context), endpoint(address), handler(std::move(handler_to_use)),
+      on_tunnel(std::move(on_tunnel_to_use)), acceptor(context)
 {
 }
 
@@ -131,7 +140,7 @@
             pause->async_wait([this, pause](error_code) { this->accept(); });
             return;
         }
-        std::make_shared<internal_session>(std::move(socket), this->handler)->read();
+        std::make_shared<internal_session>(std::move(socket), this->handler, this->on_tunnel)->read();
         this->accept();
     });
 }
--- a/modules/gateway/http/internal_server.h
+++ b/modules/gateway/http/internal_server.h
@@ -22,6 +22,10 @@
 using internal_handler =
     std::function<void(const request_message& request, std::function<void(internal_response)> answer)>;
 
+/** Takes over a connection on which another node asks for a tunnel. @see tunnel_server */
+using tunnel_handler =
+    std::function<void(const request_message& request, boost::asio::ip::tcp::socket connection)>;
+
 /**
     Serves readiness probes, metrics and calls of other nodes, all of which are small.
 
@@ -30,7 +34,7 @@
 class internal_server {
 public:
     internal_server(boost::asio::io_context& context, const boost::asio::ip::tcp::endpoint& address,
-                    internal_handler handler_to_use);
+                    internal_handler handler_to_use, tunnel_handler on_tunnel_to_use = nullptr);
 
     /** Starts accepting connections, unless it has done so. Fails like `listen_on`. */
     core::result<void> start();
@@ -41,6 +45,7 @@
     boost::asio::io_context& io;
     const boost::asio::ip::tcp::endpoint endpoint;
     const internal_handler handler;
+    const tunnel_handler on_tunnel;
     boost::asio::ip::tcp::acceptor acceptor;
 };
 
--- a/modules/gateway/http/upstream_connection.cpp
+++ b/modules/gateway/http/upstream_connection.cpp
@@ -1,6 +1,7 @@
 #include "gateway/http/upstream_connection.h"
 
 #include "gateway/http/socket_options.h"
+#include "gateway/tunnel/tunnel_call.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,6 +22,8 @@
 // Allows several round trips between availability zones. A lost SYN is not waited for, since it is sent again
 // only after a second.
 constexpr milliseconds connect_timeout{400};
+// The other node connects to the upstream meanwhile.
+constexpr milliseconds tunnel_timeout{400};
 constexpr std::uint32_t maximum_header_bytes = 64U << 10U;
 constexpr std::uint64_t maximum_body_bytes = 64ULL << 20U;
 // Bounds received bytes that are no part of a body yet, such as an endless chunk size line. Larger than the
@@ -93,8 +96,10 @@
 
 class upstream_connection::implementation {
 public:
-    implementation(upstream_connection& owner_to_use, asio::io_context& context, tcp::endpoint peer_to_use)
-        : owner(owner_to_use), socket(context), timer(context), peer(std::move(peer_to_use))
+    implementation(upstream_connection& owner_to_use, asio::io_context& context, tcp::endpoint peer_to_use,
+                   upstream_link link_to_use)
+        : owner(owner_to_use), io(context), socket(context), timer(context), peer(std::move(peer_to_use)),
+          link(std::move(link_to_use))
     {
     }
 
@@ -143,6 +148,10 @@
         ++this->request_generation;
         error_code ignored; // The connection is abandoned, so a failed close needs no handling.
         this->timer.cancel();
+        if (this->tunnel != nullptr) {
+            this->tunnel->cancel();
+            this->tunnel = nullptr;
+        }
         this->socket.close(ignored);
     }
 
@@ -159,9 +168,11 @@
     }
 
     upstream_connection& owner;
+    asio::io_context& io;
     tcp::socket socket;
     asio::steady_timer timer;
     const tcp::endpoint peer;
+    const upstream_link link;
     bool is_new_connection = true;
 
 private:
@@ -179,24 +190,53 @@
 
     void connect()
     {
+        if (this->link.helper) {
+            this->open_tunnel();
+            return;
+        }
         this->timer.expires_after(connect_timeout);
         this->timer.async_wait(this->guard_handler([this](error_code failure) {
             if (!failure && !this->is_open) {
-                this->end_request(upstream_result::not_connected);
+                this->on_connected(false);
             }
         }));
         this->socket.async_connect(this->peer, this->guard_handler([this](error_code failure) {
             this->timer.cancel();
-            if (failure) {
-                this->end_request(upstream_result::not_connected);
-                return;
-            }
-            this->is_open = true;
-            set_socket_options(this->socket);
-            this->write();
+            this->on_connected(!failure);
         }));
     }
 
+    void open_tunnel()
+    {
+        this->tunnel = std::make_shared<tunnel_call>(this->io, *this->link.helper, this->peer);
+        this->tunnel->start(std::chrono::steady_clock::now() + tunnel_timeout,
+                            [self = this->owner.shared_from_this(), this,
+                             started = this->request_generation](core::result<tcp::socket> opened) {
+                                if (started != this->request_generation) {
+                                    return;
+                                }
+                                this->tunnel = nullptr;
+                                if (opened) {
+                                    this->socket = std::move(*opened);
+                                }
+                                this->on_connected(opened.has_value());
+                            });
+    }
+
+    void on_connected(bool is_connected)
+    {
+        if (this->link.on_connect) {
+            this->link.on_connect(is_connected);
+        }
+        if (!is_connected) {
+            this->end_request(upstream_result::not_connected);
+            return;
+        }
+        this->is_open = true;
+        set_socket_options(this->socket);
+        this->write();
+    }
+
     void write()
     {
         http::async_write(this->socket, *this->request, this->guard_handler([this](error_code failure) {
@@ -284,8 +324,9 @@
     void on_complete()
     {
         const bool ends_with_connection = this->parser->get().need_eof();
-        if (ends_with_connection && !this->is_request_written) {
+        if (ends_with_connection && (!this->is_request_written || this->link.helper)) {
             // A failed write takes the reset of the connection with it, and reading then only meets its end.
+            // The end of a tunnel may be that of the other node.
             this->end_request(upstream_result::broken);
             return;
         }
@@ -328,6 +369,7 @@
         }
     }
 
+    std::shared_ptr<tunnel_call> tunnel; ///< While the tunnel is being opened.
     boost::beast::flat_buffer buffer{maximum_unparsed_bytes};
     std::optional<http::request<http::string_body>> request;
     std::optional<parser_type> parser;
@@ -346,8 +388,9 @@
     std::size_t discarded_bytes = 0;
 };
 
-upstream_connection::upstream_connection(asio::io_context& context, tcp::endpoint upstream_endpoint)
-    : state(std::make_unique<implementation>(*this, context, std::move(upstream_endpoint)))
+upstream_connection::upstream_connection(asio::io_context& context, tcp::endpoint upstream_endpoint,
+                                         upstream_link link)
+    : state(std::make_unique<implementation>(*this, context, std::move(upstream_endpoint), std::move(link)))
 {
 }
 
@@ -388,6 +431,11 @@
     return this->refused_attempts.contains(attempt_id);
 }
 
+bool upstream_connection::is_tunnelled() const noexcept
+{
+    return this->state->link.helper.has_value();
+}
+
 bool upstream_connection::is_new() const noexcept
 {
     return this->state->is_new_connection;
--- a/modules/gateway/http/upstream_connection.h
+++ b/modules/gateway/http/upstream_connection.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/model/member.h"
 #include "gateway/model/messages.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <unordered_set>
@@ -33,6 +35,14 @@
     std::function<void(upstream_result)> on_end;
 };
 
+/** How a connection reaches its upstream. @see upstream_connection */
+struct upstream_link {
+    /** The node through which the upstream is reached; empty for a connection of this node's own. */
+    std::optional<member> helper;
+    /** Called with the outcome of opening the connection. */
+    std::function<void(bool is_connected)> on_connect;
+};
+
 /**
     An HTTP/1.1 connection to an upstream. It serves one request at a time and stays open between
     requests.
@@ -45,7 +55,8 @@
 */
 class upstream_connection : public std::enable_shared_from_this<upstream_connection> {
 public:
-    upstream_connection(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint upstream_endpoint);
+    upstream_connection(boost::asio::io_context& context, boost::asio::ip::tcp::endpoint upstream_endpoint,
+                        upstream_link link = {});
     ~upstream_connection();
     upstream_connection(const upstream_connection&) = delete;
     upstream_connection& operator=(const upstream_connection&) = delete;
@@ -69,6 +80,9 @@
     /** Returns whether the connection was opened for the current request. */
     bool is_new() const noexcept;
 
+    /** Returns whether the connection goes through another node. */
+    bool is_tunnelled() const noexcept;
+
     /** Records that the upstream refused an attempt on this connection. */
     void record_refusal(const std::string& attempt_id);
 
--- a/modules/gateway/http/upstream_pool.cpp
+++ b/modules/gateway/http/upstream_pool.cpp
@@ -6,7 +6,10 @@
 
 namespace asio = boost::asio;
 
-upstream_pool::upstream_pool(asio::io_context& context) : io(context) {}
+upstream_pool::upstream_pool(asio::io_context& context, tunnel_client* tunnels_to_use)
+    : io(context), tunnels(tunnels_to_use)
+{
+}
 
 std::shared_ptr<upstream_connection> upstream_pool::acquire(const upstream& target, core::steady_time now)
 {
@@ -16,19 +19,39 @@
     while (!connections.empty()) {
         std::shared_ptr<upstream_connection> connection = std::move(connections.back());
         connections.pop_back();
-        if (connection->endpoint() == endpoint && connection->is_reusable(now)) {
+        if (connection->endpoint() == endpoint && this->is_fitting(*connection) &&
+            connection->is_reusable(now)) {
             return connection;
         }
         connection->close();
     }
+    return this->open(endpoint);
+}
+
+std::shared_ptr<upstream_connection> upstream_pool::open(const asio::ip::tcp::endpoint& endpoint)
+{
     ++this->opened_count;
-    return std::make_shared<upstream_connection>(this->io, endpoint);
+    if (this->tunnels == nullptr) {
+        return std::make_shared<upstream_connection>(this->io, endpoint);
+    }
+    const std::optional<member> helper =
+        this->tunnels->is_needed() ? this->tunnels->choose() : std::optional<member>();
+    upstream_link link{.helper = helper, .on_connect = [this, endpoint, helper](bool is_connected) {
+                           helper ? this->tunnels->record_helper(helper->id, is_connected)
+                                  : this->tunnels->record_own(endpoint, is_connected);
+                       }};
+    return std::make_shared<upstream_connection>(this->io, endpoint, std::move(link));
+}
+
+bool upstream_pool::is_fitting(const upstream_connection& connection) const
+{
+    return connection.is_tunnelled() == (this->tunnels != nullptr && this->tunnels->is_needed());
 }
 
 void upstream_pool::release(const std::string& upstream_id, std::shared_ptr<upstream_connection> connection,
                             core::steady_time now)
 {
-    if (connection->is_reusable(now)) {
+    if (this->is_fitting(*connection) && connection->is_reusable(now)) {
         this->idle[upstream_id].push_back(std::move(connection));
         return;
     }
--- a/modules/gateway/http/upstream_pool.h
+++ b/modules/gateway/http/upstream_pool.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "gateway/http/upstream_connection.h"
 #include "gateway/model/upstream.h"
+#include "gateway/tunnel/tunnel_client.h"
 
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
@@ -20,7 +21,8 @@
 */
 class upstream_pool {
 public:
-    explicit upstream_pool(boost::asio::io_context& context);
+    /** @param tunnels_to_use ways to upstreams that this node cannot reach itself; null for none */
+    explicit upstream_pool(boost::asio::io_context& context, tunnel_client* tunnels_to_use = nullptr);
 
     /** Returns an idle connection to an upstream, or a new one that its `send` opens. */
     std::shared_ptr<upstream_connection> acquire(const upstream& target, core::steady_time now);
@@ -42,7 +44,11 @@
     }
 
 private:
+    std::shared_ptr<upstream_connection> open(const boost::asio::ip::tcp::endpoint& endpoint);
+    bool is_fitting(const upstream_connection& connection) const;
+
     boost::asio::io_context& io;
+    tunnel_client* const tunnels;
     std::unordered_map<std::string, std::vector<std::shared_ptr<upstream_connection>>> idle;
     std::uint64_t opened_count = 0;
 };
--- a/modules/gateway/model/upstream.h
+++ b/modules/gateway/model/upstream.h
@@ -38,6 +38,9 @@
 /** Returns the incarnation of an upstream. */
 upstream_incarnation incarnation_of(const upstream& entry);
 
+/** Returns whether an upstream of a table is registered at an address. */
+bool has_upstream_at(const upstream_table& table, const std::string& address, std::uint16_t port);
+
 /** Returns the incarnations of all upstreams of a table. */
 std::set<upstream_incarnation> incarnations_of(const upstream_table& table);
 
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -13,6 +13,7 @@
 #include "gateway/process/settings_watch.h"
 #include "gateway/quarantine/quarantine_book.h"
 #include "gateway/relay/relay_client.h"
+#include "gateway/tunnel/tunnel_server.h"
 
 #include <algorithm>
 #include <boost/asio/post.hpp>
@@ -76,6 +77,7 @@
         : options(std::move(options_to_use)), store(this->store_calls.count(this->options.store)),
           context{.io = this->io,
                   .availability_zone = this->options.settings.availability_zone,
+                  .node = this->options.settings.id,
                   .dialect = this->options.dialect,
                   .budget = this->budget,
                   .rollouts = this->rollouts,
@@ -102,9 +104,14 @@
                                          this->quarantine.record_crash(crash_id, prompt);
                                      });
                                  },
-                             .upstreams =
+                             .upstreams = [this] { return this->context.board.upstreams.read(); },
+                             .on_probe =
+                                 [this](const tcp::endpoint& upstream, bool is_connected) {
+                                     this->context.tunnels.record_own(upstream, is_connected);
+                                 },
+                             .is_cut_off =
                                  [this] {
-                                     return this->context.board.upstreams.read();
+                                     return this->context.tunnels.is_needed();
                                  }}),
           quarantine(this->quarantine_options()), budget(this->supply.grant_pool(), this->budget_hooks()),
           endpoints(
@@ -115,8 +122,12 @@
           front(this->context, make_endpoint(this->options.settings.listen.requesters)),
           probes(this->io, make_endpoint(this->options.settings.listen.probes),
                  this->endpoints.probe_handler()),
+          tunnels(this->io, this->tunnel_options()),
           internal(this->io, make_endpoint(this->options.settings.listen.internal),
-                   this->endpoints.node_handler()),
+                   this->endpoints.node_handler(),
+                   [this](const request_message& request, tcp::socket connection) {
+                       this->tunnels.open(request, std::move(connection));
+                   }),
           signals(this->io, SIGTERM, SIGINT, SIGHUP), sweep_timer(this->io), waiter_timer(this->io),
           rollout_timer(this->io), drain_timer(this->io), settings_file(this->options.settings_file),
           view(this->view_options())
@@ -213,6 +224,25 @@
                                        }};
     }
 
+    tunnel_server_options tunnel_options()
+    {
+        return tunnel_server_options{
+            .is_authorized =
+                [this](const request_message& request) { return this->endpoints.is_authorized(request); },
+            .is_upstream =
+                [this](const tcp::endpoint& address) {
+                    const std::shared_ptr<const upstream_table> known = this->context.board.upstreams.read();
+                    return known != nullptr &&
+                           has_upstream_at(*known, address.address().to_string(), address.port());
+                },
+            .can_help =
+                [this] { return !this->context.drain.is_draining() && !this->context.tunnels.is_needed(); },
+            .on_connect =
+                [this](const tcp::endpoint& upstream, bool is_connected) {
+                    this->context.tunnels.record_own(upstream, is_connected);
+                }};
+    }
+
     budget_access_hooks budget_hooks()
     {
         return budget_access_hooks{
@@ -627,6 +657,7 @@
     internal_endpoints endpoints;
     front_listener front;
     internal_server probes;
+    tunnel_server tunnels;
     internal_server internal;
     asio::signal_set signals;
     asio::steady_timer port_timer{this->io};
--- a/modules/gateway/process/internal_endpoints.h
+++ b/modules/gateway/process/internal_endpoints.h
@@ -33,11 +33,13 @@
     /** Returns the handler for requests to the internal address: loans, loan reports, polls and metrics. */
     internal_handler node_handler() const;
 
+    /** Returns whether a call shows this process's token. */
+    bool is_authorized(const request_message& request) const;
+
 private:
     using answer_handler = std::function<void(internal_response)>;
 
     bool is_ready() const;
-    bool is_authorized(const request_message& request) const;
     internal_response metrics_response() const;
     void lend(const request_message& request, const answer_handler& answer) const;
     void apply_report(const request_message& request, const answer_handler& answer) const;
--- a/modules/gateway/quarantine/crash_watch.cpp
+++ b/modules/gateway/quarantine/crash_watch.cpp
@@ -16,6 +16,8 @@
 // A restarted upstream registers itself at its start; its entry then reaches this node by a watch.
 constexpr std::chrono::milliseconds registration_timeout{2000};
 constexpr std::chrono::milliseconds registration_interval{100};
+// Time in which further refusals show that this node is cut off and the upstream has not crashed.
+constexpr std::chrono::milliseconds confirmation_time{300};
 constexpr std::size_t maximum_pending = 256;
 constexpr std::size_t maximum_prompts = 256;
 
@@ -107,7 +109,10 @@
     };
     started->timer.expires_after(probe_timeout);
     started->timer.async_wait([finish_once](error_code) { finish_once(false); });
-    started->socket.async_connect(endpoint, [finish_once](error_code failure) {
+    started->socket.async_connect(endpoint, [this, endpoint, finish_once](error_code failure) {
+        if (this->hooks.on_probe) {
+            this->hooks.on_probe(endpoint, !failure);
+        }
         finish_once(failure == asio::error::connection_refused || failure == asio::error::connection_reset);
     });
 }
@@ -116,13 +121,25 @@
 {
     doubted->is_probing = false;
     if (is_refused) {
-        this->finish(doubted, "refused", true);
+        this->confirm_refusal(doubted);
         return;
     }
     doubted->given_up_at = clock::now() + registration_timeout;
     this->await_registration(doubted);
 }
 
+void crash_watch::confirm_refusal(const std::shared_ptr<suspicion>& doubted)
+{
+    doubted->timer.expires_after(confirmation_time);
+    doubted->timer.async_wait([this, doubted](error_code failure) {
+        if (failure || doubted->is_probing) {
+            return;
+        }
+        const bool is_cut_off = this->hooks.is_cut_off && this->hooks.is_cut_off();
+        this->finish(doubted, is_cut_off ? "cut_off" : "refused", !is_cut_off);
+    });
+}
+
 void crash_watch::await_registration(const std::shared_ptr<suspicion>& doubted)
 {
     const std::shared_ptr<const upstream_table> table =
--- a/modules/gateway/quarantine/crash_watch.h
+++ b/modules/gateway/quarantine/crash_watch.h
@@ -4,6 +4,7 @@
 #include "gateway/quarantine/crash_report.h"
 
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -16,6 +17,10 @@
 struct crash_watch_hooks {
     std::function<void(const std::string& crash_id, const prompt_parts& prompt)> on_crash;
     std::function<std::shared_ptr<const upstream_table>()> upstreams;
+    /** Called with the outcome of each connection that is opened to an upstream. */
+    std::function<void(const boost::asio::ip::tcp::endpoint& upstream, bool is_connected)> on_probe;
+    /** Returns whether this node is cut off from the upstreams, so that a refusal shows no crash. */
+    std::function<bool()> is_cut_off;
 };
 
 /** Returns whether a table shows that a run of an upstream has ended: its id has another start, or its
@@ -46,6 +51,7 @@
 
     void start_probe(const std::shared_ptr<suspicion>& doubted);
     void on_probed(const std::shared_ptr<suspicion>& doubted, bool is_refused);
+    void confirm_refusal(const std::shared_ptr<suspicion>& doubted);
     void await_registration(const std::shared_ptr<suspicion>& doubted);
     void finish(const std::shared_ptr<suspicion>& doubted, std::string_view outcome, bool is_crash);
 
--- /dev/null
+++ b/tests/gateway/tunnel/tunnel_test.cpp
@@ -0,0 +1,240 @@
+#include "gateway/http/internal_server.h"
+#include "gateway/http/upstream_pool.h"
+#include "gateway/loopback_gateway.h"
+#include "gateway/tunnel/tunnel_client.h"
+#include "gateway/tunnel/tunnel_server.h"
+
+#include <criterion/criterion.h>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace {
+
+using namespace samphireway;
+using namespace samphireway::testing;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+
+const std::string whole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nopen";
+
+/** A node that is cut off from its upstreams, and one that helps it, on one thread. */
+class two_nodes {
+public:
+    explicit two_nodes(scripted_upstream::script script)
+        : upstream(this->io, "u", std::move(script)), helper_port(free_port(this->io)),
+          server(this->io, {.is_authorized =
+                                [](const gateway::request_message& request) {
+                                    const std::string* shown =
+                                        gateway::find_header(request.headers, "Authorization");
+                                    return shown != nullptr && *shown == "Bearer secret";
+                                },
+                            .is_upstream =
+                                [this](const tcp::endpoint& address) {
+                                    return address.port() == this->upstream.entry().port;
+                                },
+                            .can_help = [this] { return this->can_help; },
+                            .on_connect = [](const tcp::endpoint&, bool) {},
+                            .maximum_tunnels = 3}),
+          internal(
+              this->io, {boost::asio::ip::address_v4::loopback(), this->helper_port},
+              [](const gateway::request_message&, const auto& answer) { answer({}); },
+              [this](const gateway::request_message& request, tcp::socket connection) {
+                  this->server.open(request, std::move(connection));
+              })
+    {
+        cr_assert(this->internal.start().has_value());
+        auto table = std::make_shared<gateway::upstream_table>();
+        table->by_service["s"].push_back(std::make_shared<gateway::upstream>(this->upstream.entry()));
+        this->registered = std::move(table);
+        this->add_member("helper", this->helper_port, "secret");
+    }
+
+    void add_member(const std::string& id, std::uint16_t port, const std::string& token)
+    {
+        auto next = std::make_shared<gateway::member_list>(*this->members);
+        next->members.push_back({.id = id,
+                                 .address = "127.0.0.1",
+                                 .port = port,
+                                 .token = token,
+                                 .process = id,
+                                 .availability_zone = "here"});
+        this->members = std::move(next);
+    }
+
+    /** Makes the node's own links to the upstreams fail. */
+    void cut_off()
+    {
+        for (std::uint16_t number = 1; number <= 3; ++number) {
+            this->client.record_own({boost::asio::ip::address_v4::loopback(), number}, false);
+        }
+    }
+
+    struct outcome {
+        std::optional<gateway::upstream_result> result;
+        std::string body;
+        std::shared_ptr<gateway::upstream_connection> connection;
+    };
+
+    /** Sends a request from the node that is cut off. */
+    outcome send()
+    {
+        outcome seen;
+        seen.connection = this->pool.acquire(this->upstream.entry(), std::chrono::steady_clock::now());
+        seen.connection->send(
+            {.method = "POST", .target = "/r/", .headers = {{"Host", "u"}}, .body = "body"},
+            {.on_head = [](const gateway::response_head&) { return gateway::response_owner::this_request; },
+             .on_body = [&seen](std::string_view bytes) { seen.body += bytes; },
+             .on_end =
+                 [&seen](gateway::upstream_result result) {
+                     seen.result = result;
+                 }});
+        this->run_until([&seen] { return seen.result.has_value(); });
+        return seen;
+    }
+
+    bool run_until(const std::function<bool()>& condition)
+    {
+        const auto limit = std::chrono::steady_clock::now() + 10s;
+        while (!condition() && std::chrono::steady_clock::now() < limit) {
+            this->io.run_for(2ms);
+            this->io.restart();
+        }
+        return condition();
+    }
+
+    static std::uint16_t free_port(boost::asio::io_context& context)
+    {
+        return tcp::acceptor(context, tcp::endpoint(boost::asio::ip::address_v4::loopback(), 0))
+            .local_endpoint()
+            .port();
+    }
+
+    boost::asio::io_context io;
+    const std::string node = "cut";
+    const std::string zone = "here";
+    scripted_upstream upstream;
+    const std::uint16_t helper_port;
+    bool can_help = true;
+    std::shared_ptr<const gateway::upstream_table> registered;
+    std::shared_ptr<const gateway::member_list> members = std::make_shared<gateway::member_list>();
+    gateway::tunnel_server server;
+    gateway::internal_server internal;
+    gateway::tunnel_client client{this->io,
+                                  {.node = this->node,
+                                   .availability_zone = this->zone,
+                                   .members = [this] { return this->members; },
+                                   .upstreams =
+                                       [this] {
+                                           return this->registered;
+                                       }}};
+    gateway::upstream_pool pool{this->io, &this->client};
+};
+
+} // namespace
+
+// Guards against a node that serves nobody while it alone cannot reach the upstreams.
+Test(tunnel, cut_off_node_is_served_through_another_node)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{.parts = {whole}}; });
+    nodes.cut_off();
+    const two_nodes::outcome seen = nodes.send();
+    cr_expect(seen.result == gateway::upstream_result::complete);
+    cr_expect_str_eq(seen.body.c_str(), "open");
+    cr_expect(seen.connection->is_tunnelled());
+    cr_expect_eq(nodes.upstream.requests().size(), 1U);
+    cr_expect_str_eq(nodes.upstream.requests().front().body.c_str(), "body");
+}
+
+// Guards against tunnels in calm, and after the links are back.
+Test(tunnel, node_goes_back_to_its_own_links_within_two_seconds)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{.parts = {whole}}; });
+    cr_expect_not(nodes.send().connection->is_tunnelled());
+    nodes.cut_off();
+    const auto begin = std::chrono::steady_clock::now();
+    cr_expect(nodes.run_until([&nodes] { return !nodes.client.is_needed(); }));
+    cr_expect_lt((std::chrono::steady_clock::now() - begin).count(), std::chrono::nanoseconds(2s).count());
+    cr_expect_not(nodes.send().connection->is_tunnelled());
+}
+
+// Guards against a part of a response that looks complete since the upstream or the helper broke off.
+Test(tunnel, response_that_ends_with_its_connection_is_not_complete)
+{
+    for (const bool is_reset : {false, true}) {
+        two_nodes nodes([is_reset](const received_request&) {
+            return upstream_reply{
+                .parts = {"HTTP/1.1 200 OK\r\n\r\npart"}, .is_closed = !is_reset, .is_reset = is_reset};
+        });
+        nodes.cut_off();
+        cr_expect(nodes.send().result == gateway::upstream_result::broken);
+    }
+}
+
+// Guards against an upstream that works on for a requester who has left the node that is cut off.
+Test(tunnel, closing_ends_the_connection_to_the_upstream)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{}; });
+    nodes.cut_off();
+    const auto connection = nodes.pool.acquire(nodes.upstream.entry(), std::chrono::steady_clock::now());
+    connection->send({.method = "GET", .target = "/r/", .headers = {{"Host", "u"}}}, {});
+    cr_assert(nodes.run_until([&nodes] { return !nodes.upstream.requests().empty(); }));
+    connection->close();
+    cr_expect(nodes.run_until([&nodes] { return nodes.upstream.closed_connections() > 0; }));
+    cr_expect(nodes.run_until([&nodes] { return nodes.server.count() == 0; }));
+}
+
+// Guards against tunnels for strangers, to other addresses, through nodes that are cut off, and without a
+// bound.
+Test(tunnel, calls_that_must_not_be_helped_are_refused)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{}; });
+    const gateway::upstream entry = nodes.upstream.entry();
+    const tcp::endpoint target(boost::asio::ip::make_address(entry.address), entry.port);
+    const gateway::member helper = nodes.members->members.front();
+    std::vector<tcp::socket> open;
+    const auto is_opened = [&](const gateway::member& asked, const tcp::endpoint& address) {
+        std::optional<bool> opened;
+        std::make_shared<gateway::tunnel_call>(nodes.io, asked, address)
+            ->start(std::chrono::steady_clock::now() + 2s, [&](core::result<tcp::socket> connection) {
+                opened = connection.has_value();
+                if (connection) {
+                    open.push_back(std::move(*connection));
+                }
+            });
+        nodes.run_until([&opened] { return opened.has_value(); });
+        return opened.value_or(false);
+    };
+    gateway::member stranger = helper;
+    stranger.token = "another";
+    cr_expect_not(is_opened(stranger, target));
+    cr_expect_not(is_opened(helper, {target.address(), 9}));
+    nodes.can_help = false;
+    cr_expect_not(is_opened(helper, target));
+    nodes.can_help = true;
+    for (int count = 0; count < 3; ++count) {
+        cr_expect(is_opened(helper, target));
+    }
+    cr_expect_not(is_opened(helper, target));
+    open.clear();
+    cr_expect(nodes.run_until([&nodes] { return nodes.server.count() == 0; }));
+    cr_expect(is_opened(helper, target));
+}
+
+// Guards against requests that fail since one of several helpers is gone or cut off as well.
+Test(tunnel, helpers_that_fail_are_not_chosen_again)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{.parts = {whole}}; });
+    for (int count = 0; count < 3; ++count) {
+        nodes.add_member("gone-" + std::to_string(count), two_nodes::free_port(nodes.io), "secret");
+    }
+    nodes.cut_off();
+    cr_assert(nodes.run_until([&nodes] {
+        const auto chosen = nodes.client.choose();
+        return chosen && chosen->id == "helper";
+    }));
+    nodes.cut_off();
+    for (int count = 0; count < 20 && nodes.client.is_needed(); ++count) {
+        cr_expect_str_eq(nodes.client.choose()->id.c_str(), "helper");
+    }
+}
