--- a/tests/gateway/tunnel/tunnel_test.cpp
+++ b/tests/gateway/tunnel/tunnel_test.cpp
@@ -31,7 +31,8 @@
                                 },
                             .is_upstream =
                                 [this](const tcp::endpoint& address) {
-                                    return address.port() == this->upstream.entry().port;
+                                    return address.port() == this->upstream.entry().port ||
+                                           address.port() == this->other_upstream;
                                 },
                             .can_help = [this] { return this->can_help; },
                             .on_connect = [](const tcp::endpoint&, bool) {},
@@ -78,11 +79,16 @@
 
     /** Sends a request from the node that is cut off. */
     outcome send()
+    {
+        return this->send_to(this->upstream.entry());
+    }
+
+    outcome send_to(const gateway::upstream& target, const std::string& body = "body")
     {
         outcome seen;
-        seen.connection = this->pool.acquire(this->upstream.entry(), std::chrono::steady_clock::now());
+        seen.connection = this->pool.acquire(target, std::chrono::steady_clock::now());
         seen.connection->send(
-            {.method = "POST", .target = "/r/", .headers = {{"Host", "u"}}, .body = "body"},
+            {.method = "POST", .target = "/r/", .headers = {{"Host", "u"}}, .body = body},
             {.on_head = [](const gateway::response_head&) { return gateway::response_owner::this_request; },
              .on_body = [&seen](std::string_view bytes) { seen.body += bytes; },
              .on_end =
@@ -116,6 +122,7 @@
     scripted_upstream upstream;
     const std::uint16_t helper_port;
     bool can_help = true;
+    std::uint16_t other_upstream = 0; ///< Port of a second registered upstream.
     std::shared_ptr<const gateway::upstream_table> registered;
     std::shared_ptr<const gateway::member_list> members = std::make_shared<gateway::member_list>();
     gateway::tunnel_server server;
@@ -241,3 +248,58 @@
     cr_assert(nodes.run_until(is_only_the_helper_chosen));
     cr_expect(nodes.client.is_needed());
 }
+
+// Guards against a stream that breaks off in a tunnel since its requester reads slowly.
+Test(tunnel, slow_reader_gets_the_whole_response, .timeout = 60)
+{
+    constexpr std::size_t bytes = std::size_t{32} << 20U;
+    for (const bool is_cut : {false, true}) {
+        two_nodes nodes([](const received_request&) {
+            return upstream_reply{.parts = {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes) +
+                                            "\r\n\r\n" + std::string(bytes, 'x')}};
+        });
+        if (is_cut) {
+            nodes.cut_off();
+        }
+        const auto connection =
+            nodes.pool.acquire(nodes.upstream.entry(), std::chrono::steady_clock::now());
+        std::size_t received = 0;
+        std::optional<gateway::upstream_result> result;
+        connection->send(
+            {.method = "POST", .target = "/r/", .headers = {{"Host", "u"}}, .body = "body"},
+            {.on_head = [](const gateway::response_head&) { return gateway::response_owner::this_request; },
+             .on_body =
+                 [&](std::string_view part) {
+                     if (received == 0) {
+                         connection->pause_reading();
+                     }
+                     received += part.size();
+                 },
+             .on_end = [&](gateway::upstream_result seen) { result = seen; }});
+        const auto resume_at = std::chrono::steady_clock::now() + 5s;
+        nodes.run_until([&] { return std::chrono::steady_clock::now() >= resume_at; });
+        connection->resume_reading();
+        nodes.run_until([&result] { return result.has_value(); });
+        cr_expect(result == gateway::upstream_result::complete, "%s", is_cut ? "tunnel" : "direct");
+        cr_expect_eq(received, bytes, "%s: %zu", is_cut ? "tunnel" : "direct", received);
+    }
+}
+
+// Guards against a response that breaks off in a tunnel since the upstream reads the rest of the request after it.
+Test(tunnel, request_may_be_read_after_its_response, .timeout = 60)
+{
+    const std::string large(110000, 'b');
+    for (const bool is_cut : {false, true}) {
+        two_nodes nodes([](const received_request&) {
+            return upstream_reply{.parts = {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\no", "p", "e", "n"},
+                                  .pause = 1s};
+        });
+        nodes.upstream.read_bodies_late();
+        if (is_cut) {
+            nodes.cut_off();
+        }
+        const two_nodes::outcome seen = nodes.send_to(nodes.upstream.entry(), large);
+        cr_expect(seen.result == gateway::upstream_result::complete, "%s", is_cut ? "tunnel" : "direct");
+        cr_expect_str_eq(seen.body.c_str(), "open", "%s", is_cut ? "tunnel" : "direct");
+    }
+}
