Do not end a tunnel since its peer keeps its window closed

A slow requester lost its stream after 1.5 s through a tunnel (124,883 of 33,554,432 bytes came) and an upstream that reads a request after its response lost it. Keep-alive probes still end idle tunnels to lost peers. tunnel/slow_reader_gets_the_whole_response and request_may_be_read_after_its_response failed twice before and pass.

--- a/modules/gateway/tunnel/tunnel_server.cpp
+++ b/modules/gateway/tunnel/tunnel_server.cpp
@@ -21,6 +21,9 @@
 // Shorter than the time for which the other node waits, so that it learns the outcome.
 constexpr std::chrono::milliseconds connect_timeout{250};
 constexpr std::size_t buffer_bytes = 16U << 10U;
+// A peer may close its window for long: a requester reads slowly, or an upstream reads a request late. The node
+// at the other end of the tunnel decides how long that may take and closes the tunnel.
+constexpr unresponsive_peer_limits patient{.unacknowledged_data = std::chrono::milliseconds(0)};
 
 std::optional<tcp::endpoint> parse_target(const std::string& target)
 {
@@ -69,8 +72,8 @@
                                  false);
                     return;
                 }
-                set_socket_options(self->upstream);
-                set_socket_options(self->node);
+                set_socket_options(self->upstream, patient);
+                set_socket_options(self->node, patient);
                 self->answer("HTTP/1.1 200 OK\r\n\r\n", true);
             });
     }
