--- a/tests/gateway/tunnel/tunnel_test.cpp
+++ b/tests/gateway/tunnel/tunnel_test.cpp
@@ -303,3 +303,17 @@
         cr_expect_str_eq(seen.body.c_str(), "open", "%s", is_cut ? "tunnel" : "direct");
     }
 }
+
+// Guards against living connections that a node gives up while it is cut off and knows no other node.
+Test(tunnel, node_without_helpers_keeps_its_connections)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{.parts = {whole}}; });
+    nodes.members = std::make_shared<gateway::member_list>();
+    const two_nodes::outcome first = nodes.send();
+    cr_assert(first.result == gateway::upstream_result::complete);
+    nodes.pool.release(nodes.upstream.entry().id, first.connection, std::chrono::steady_clock::now());
+    nodes.cut_off();
+    const auto second =
+        nodes.pool.acquire(nodes.upstream.entry(), std::chrono::steady_clock::now());
+    cr_expect(second == first.connection, "the connection was given up");
+}
