--- a/tests/gateway/tunnel/tunnel_test.cpp
+++ b/tests/gateway/tunnel/tunnel_test.cpp
@@ -317,3 +317,24 @@
         nodes.pool.acquire(nodes.upstream.entry(), std::chrono::steady_clock::now());
     cr_expect(second == first.connection, "the connection was given up");
 }
+
+// Guards against a sound helper that is given up since upstreams are down that no node reaches.
+Test(tunnel, upstream_that_is_down_costs_no_helper)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{.parts = {whole}}; });
+    const std::uint16_t nobody = two_nodes::free_port(nodes.io);
+    nodes.other_upstream = nobody;
+    nodes.cut_off();
+    cr_assert(nodes.send().connection->is_tunnelled());
+    gateway::upstream down = nodes.upstream.entry();
+    down.id = "down";
+    down.port = nobody;
+    for (int count = 0; count < 3; ++count) {
+        nodes.cut_off(); // The node stays cut off, whatever its own attempts found meanwhile.
+        nodes.send_to(down);
+    }
+    nodes.cut_off();
+    cr_assert(nodes.client.is_needed());
+    const auto chosen = nodes.client.choose();
+    cr_expect(chosen.has_value(), "the helper was given up");
+}
