--- a/tests/gateway/tunnel/tunnel_test.cpp
+++ b/tests/gateway/tunnel/tunnel_test.cpp
@@ -338,3 +338,23 @@
     const auto chosen = nodes.client.choose();
     cr_expect(chosen.has_value(), "the helper was given up");
 }
+
+// Guards against an answer that is lost in a tunnel since the upstream gives it before it has read the request.
+Test(tunnel, early_answer_arrives_as_without_a_tunnel)
+{
+    const std::string large(std::size_t{4} << 20U, 'b');
+    for (const bool is_cut : {false, true}) {
+        int complete = 0;
+        for (int count = 0; count < 20; ++count) {
+            two_nodes nodes([](const received_request&) {
+                return upstream_reply{.parts = {whole}, .is_closed = true, .pause = 0ms};
+            });
+            nodes.upstream.read_bodies_late();
+            if (is_cut) {
+                nodes.cut_off();
+            }
+            complete += nodes.send_to(nodes.upstream.entry(), large).body == "open" ? 1 : 0;
+        }
+        cr_expect_eq(complete, 20, "%s: %d of 20", is_cut ? "tunnel" : "direct", complete);
+    }
+}
