--- a/modules/gateway/http/upstream_pool.cpp
+++ b/modules/gateway/http/upstream_pool.cpp
@@ -45,7 +45,9 @@
 
 bool upstream_pool::is_fitting(const upstream_connection& connection) const
 {
-    return connection.is_tunnelled() == (this->tunnels != nullptr && this->tunnels->is_needed());
+    const bool is_needed = this->tunnels != nullptr && this->tunnels->is_needed();
+    // Without a helper an own connection that lives is all there is; new ones may be refused.
+    return connection.is_tunnelled() == is_needed || (is_needed && !this->tunnels->choose());
 }
 
 void upstream_pool::release(const std::string& upstream_id, std::shared_ptr<upstream_connection> connection,
