Do not drop a crash since the node counts as cut off

A node whose upstreams crash one after the other counted as cut off and dropped the crashes ("cut_off": 11 of 32 in the logs of two crashing_prompts tests with no link cut, two runs). It now waits for the upstream to register again, as it does after a probe that is accepted: 0 of 24 dropped, 11 found as "restarted" (one run each of the same tests, both pass).

--- a/modules/gateway/quarantine/crash_watch.cpp
+++ b/modules/gateway/quarantine/crash_watch.cpp
@@ -120,11 +120,11 @@
 void crash_watch::on_probed(const std::shared_ptr<suspicion>& doubted, bool is_refused)
 {
     doubted->is_probing = false;
+    doubted->given_up_at = clock::now() + registration_timeout;
     if (is_refused) {
         this->confirm_refusal(doubted);
         return;
     }
-    doubted->given_up_at = clock::now() + registration_timeout;
     this->await_registration(doubted);
 }
 
@@ -135,8 +135,12 @@
         if (failure || doubted->is_probing) {
             return;
         }
-        const bool is_cut_off = this->hooks.is_cut_off && this->hooks.is_cut_off();
-        this->finish(doubted, is_cut_off ? "cut_off" : "refused", !is_cut_off);
+        if (this->hooks.is_cut_off && this->hooks.is_cut_off()) {
+            // Then a refusal shows nothing, but a crash still shows by the upstream's next registration.
+            this->await_registration(doubted);
+            return;
+        }
+        this->finish(doubted, "refused", true);
     });
 }
 
