--- a/tests/gateway/tunnel/tunnel_test.cpp
+++ b/tests/gateway/tunnel/tunnel_test.cpp
@@ -31,7 +31,8 @@
                                 },
                             .is_upstream =
                                 [this](const tcp::endpoint& address) {
-                                    return address.port() == this->upstream.entry().port;
+                                    return address.port() == this->upstream.entry().port ||
+                                           address.port() == this->other_upstream;
                                 },
                             .can_help = [this] { return this->can_help; },
                             .on_connect = [](const tcp::endpoint&, bool) {},
@@ -78,11 +79,16 @@
 
     /** Sends a request from the node that is cut off. */
     outcome send()
+    {
+        return this->send_to(this->upstream.entry());
+    }
+
+    outcome send_to(const gateway::upstream& target, const std::string& body = "body")
     {
         outcome seen;
-        seen.connection = this->pool.acquire(this->upstream.entry(), std::chrono::steady_clock::now());
+        seen.connection = this->pool.acquire(target, std::chrono::steady_clock::now());
         seen.connection->send(
-            {.method = "POST", .target = "/r/", .headers = {{"Host", "u"}}, .body = "body"},
+            {.method = "POST", .target = "/r/", .headers = {{"Host", "u"}}, .body = body},
             {.on_head = [](const gateway::response_head&) { return gateway::response_owner::this_request; },
              .on_body = [&seen](std::string_view bytes) { seen.body += bytes; },
              .on_end =
@@ -116,6 +122,7 @@
     scripted_upstream upstream;
     const std::uint16_t helper_port;
     bool can_help = true;
+    std::uint16_t other_upstream = 0; ///< Port of a second registered upstream.
     std::shared_ptr<const gateway::upstream_table> registered;
     std::shared_ptr<const gateway::member_list> members = std::make_shared<gateway::member_list>();
     gateway::tunnel_server server;
@@ -229,12 +236,125 @@
         nodes.add_member("gone-" + std::to_string(count), two_nodes::free_port(nodes.io), "secret");
     }
     nodes.cut_off();
-    cr_assert(nodes.run_until([&nodes] {
-        const auto chosen = nodes.client.choose();
-        return chosen && chosen->id == "helper";
-    }));
+    const auto is_only_the_helper_chosen = [&nodes] {
+        for (int count = 0; count < 20; ++count) {
+            const auto chosen = nodes.client.choose();
+            if (!chosen || chosen->id != "helper") {
+                return false;
+            }
+        }
+        return true;
+    };
+    cr_assert(nodes.run_until(is_only_the_helper_chosen));
+    cr_expect(nodes.client.is_needed());
+}
+
+// Guards against a stream that breaks off in a tunnel since its requester reads slowly.
+Test(tunnel, slow_reader_gets_the_whole_response, .timeout = 60)
+{
+    constexpr std::size_t bytes = std::size_t{32} << 20U;
+    for (const bool is_cut : {false, true}) {
+        two_nodes nodes([](const received_request&) {
+            return upstream_reply{.parts = {"HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(bytes) +
+                                            "\r\n\r\n" + std::string(bytes, 'x')}};
+        });
+        if (is_cut) {
+            nodes.cut_off();
+        }
+        const auto connection =
+            nodes.pool.acquire(nodes.upstream.entry(), std::chrono::steady_clock::now());
+        std::size_t received = 0;
+        std::optional<gateway::upstream_result> result;
+        connection->send(
+            {.method = "POST", .target = "/r/", .headers = {{"Host", "u"}}, .body = "body"},
+            {.on_head = [](const gateway::response_head&) { return gateway::response_owner::this_request; },
+             .on_body =
+                 [&](std::string_view part) {
+                     if (received == 0) {
+                         connection->pause_reading();
+                     }
+                     received += part.size();
+                 },
+             .on_end = [&](gateway::upstream_result seen) { result = seen; }});
+        const auto resume_at = std::chrono::steady_clock::now() + 5s;
+        nodes.run_until([&] { return std::chrono::steady_clock::now() >= resume_at; });
+        connection->resume_reading();
+        nodes.run_until([&result] { return result.has_value(); });
+        cr_expect(result == gateway::upstream_result::complete, "%s", is_cut ? "tunnel" : "direct");
+        cr_expect_eq(received, bytes, "%s: %zu", is_cut ? "tunnel" : "direct", received);
+    }
+}
+
+// Guards against a response that breaks off in a tunnel since the upstream reads the rest of the request after it.
+Test(tunnel, request_may_be_read_after_its_response, .timeout = 60)
+{
+    const std::string large(110000, 'b');
+    for (const bool is_cut : {false, true}) {
+        two_nodes nodes([](const received_request&) {
+            return upstream_reply{.parts = {"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\no", "p", "e", "n"},
+                                  .pause = 1s};
+        });
+        nodes.upstream.read_bodies_late();
+        if (is_cut) {
+            nodes.cut_off();
+        }
+        const two_nodes::outcome seen = nodes.send_to(nodes.upstream.entry(), large);
+        cr_expect(seen.result == gateway::upstream_result::complete, "%s", is_cut ? "tunnel" : "direct");
+        cr_expect_str_eq(seen.body.c_str(), "open", "%s", is_cut ? "tunnel" : "direct");
+    }
+}
+
+// Guards against living connections that a node gives up while it is cut off and knows no other node.
+Test(tunnel, node_without_helpers_keeps_its_connections)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{.parts = {whole}}; });
+    nodes.members = std::make_shared<gateway::member_list>();
+    const two_nodes::outcome first = nodes.send();
+    cr_assert(first.result == gateway::upstream_result::complete);
+    nodes.pool.release(nodes.upstream.entry().id, first.connection, std::chrono::steady_clock::now());
+    nodes.cut_off();
+    const auto second =
+        nodes.pool.acquire(nodes.upstream.entry(), std::chrono::steady_clock::now());
+    cr_expect(second == first.connection, "the connection was given up");
+}
+
+// Guards against a sound helper that is given up since upstreams are down that no node reaches.
+Test(tunnel, upstream_that_is_down_costs_no_helper)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{.parts = {whole}}; });
+    const std::uint16_t nobody = two_nodes::free_port(nodes.io);
+    nodes.other_upstream = nobody;
     nodes.cut_off();
-    for (int count = 0; count < 20 && nodes.client.is_needed(); ++count) {
-        cr_expect_str_eq(nodes.client.choose()->id.c_str(), "helper");
+    cr_assert(nodes.send().connection->is_tunnelled());
+    gateway::upstream down = nodes.upstream.entry();
+    down.id = "down";
+    down.port = nobody;
+    for (int count = 0; count < 3; ++count) {
+        nodes.cut_off(); // The node stays cut off, whatever its own attempts found meanwhile.
+        nodes.send_to(down);
+    }
+    nodes.cut_off();
+    cr_assert(nodes.client.is_needed());
+    const auto chosen = nodes.client.choose();
+    cr_expect(chosen.has_value(), "the helper was given up");
+}
+
+// Guards against an answer that is lost in a tunnel since the upstream gives it before it has read the request.
+Test(tunnel, early_answer_arrives_as_without_a_tunnel)
+{
+    const std::string large(std::size_t{4} << 20U, 'b');
+    for (const bool is_cut : {false, true}) {
+        int complete = 0;
+        for (int count = 0; count < 20; ++count) {
+            two_nodes nodes([](const received_request&) {
+                return upstream_reply{.parts = {whole}, .is_closed = true, .pause = 0ms};
+            });
+            nodes.upstream.read_bodies_late();
+            if (is_cut) {
+                nodes.cut_off();
+            }
+            complete += nodes.send_to(nodes.upstream.entry(), large).body == "open" ? 1 : 0;
+        }
+        cr_expect_eq(complete, 20, "%s: %d of 20", is_cut ? "tunnel" : "direct", complete);
     }
 }
