--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -553,7 +553,8 @@
     void check_drain()
     {
         const core::steady_time now = clock::now();
-        const bool is_idle = this->context.drain.refuses(now) && !this->context.counts.has_open_responses();
+        const bool is_idle = this->context.drain.refuses(now) && !this->context.counts.has_open_responses() &&
+                             !this->tunnels.is_responding(now);
         if (this->context.drain.refuses(now) && !this->is_supply_draining) {
             this->return_grants();
         }
--- a/modules/gateway/tunnel/tunnel_server.cpp
+++ b/modules/gateway/tunnel/tunnel_server.cpp
@@ -3,6 +3,7 @@
 #include "gateway/http/socket_options.h"
 #include "settings/settings.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -20,9 +21,11 @@
 
 // Shorter than the time for which the other node waits, so that it learns the outcome.
 constexpr std::chrono::milliseconds connect_timeout{250};
+// The longest pause within a response that is not taken for its end.
+constexpr std::chrono::milliseconds response_pause{500};
 constexpr std::size_t buffer_bytes = 16U << 10U;
-// A peer may close its window for long: a requester reads slowly, or an upstream reads a request late. The node
-// at the other end of the tunnel decides how long that may take and closes the tunnel.
+// A peer may close its window for long: a requester reads slowly, or an upstream reads a request late. The
+// node at the other end of the tunnel decides how long that may take and closes the tunnel.
 constexpr unresponsive_peer_limits patient{.unacknowledged_data = std::chrono::milliseconds(0)};
 
 std::optional<tcp::endpoint> parse_target(const std::string& target)
@@ -41,15 +44,16 @@
 /** A pair of connections whose bytes are passed on. */
 class tunnel_server::tunnel : public std::enable_shared_from_this<tunnel> {
 public:
-    tunnel(asio::io_context& io, tcp::socket connection, std::shared_ptr<std::size_t> count_to_use)
-        : node(std::move(connection)), upstream(io), timer(io), open_tunnels(std::move(count_to_use))
+    tunnel(asio::io_context& io, tcp::socket connection,
+           std::shared_ptr<std::set<const tunnel*>> tunnels_to_use)
+        : node(std::move(connection)), upstream(io), timer(io), tunnels(std::move(tunnels_to_use))
     {
-        ++*this->open_tunnels;
+        this->tunnels->insert(this);
     }
 
     ~tunnel()
     {
-        --*this->open_tunnels;
+        this->tunnels->erase(this);
     }
     tunnel(const tunnel&) = delete;
     tunnel& operator=(const tunnel&) = delete;
@@ -92,6 +96,11 @@
                           });
     }
 
+    bool is_responding(core::steady_time now) const
+    {
+        return this->is_response_due || now < this->responded_at + response_pause;
+    }
+
 private:
     using buffer = std::array<char, buffer_bytes>;
 
@@ -103,6 +112,10 @@
                 self->close(is_response && failure == asio::error::eof);
                 return;
             }
+            self->is_response_due = !is_response;
+            if (is_response) {
+                self->responded_at = std::chrono::steady_clock::now();
+            }
             asio::async_write(to, asio::buffer(bytes, count),
                               [self, &from, &to, &bytes, is_response](error_code failed, std::size_t) {
                                   if (failed) {
@@ -129,7 +142,9 @@
     tcp::socket node;
     tcp::socket upstream;
     asio::steady_timer timer;
-    const std::shared_ptr<std::size_t> open_tunnels;
+    const std::shared_ptr<std::set<const tunnel*>> tunnels;
+    bool is_response_due = false; ///< Whether bytes were passed on to the upstream since its last ones.
+    core::steady_time responded_at;
     std::string head;
     buffer to_upstream{};
     buffer to_node{};
@@ -144,7 +159,7 @@
 {
     const std::optional<tcp::endpoint> target = parse_target(request.target);
     const auto refuse = [this, &connection](const char* status) {
-        std::make_shared<tunnel>(this->io, std::move(connection), std::make_shared<std::size_t>(0))
+        std::make_shared<tunnel>(this->io, std::move(connection), std::make_shared<std::set<const tunnel*>>())
             ->answer(std::string("HTTP/1.1 ") + status + "\r\nContent-Length: 0\r\nConnection: close\r\n\r\n",
                      false);
     };
@@ -156,11 +171,11 @@
         refuse("403 Forbidden");
         return;
     }
-    if (!this->options.can_help() || *this->open_tunnels >= this->options.maximum_tunnels) {
+    if (!this->options.can_help() || this->tunnels->size() >= this->options.maximum_tunnels) {
         refuse("503 Service Unavailable");
         return;
     }
-    std::make_shared<tunnel>(this->io, std::move(connection), this->open_tunnels)
+    std::make_shared<tunnel>(this->io, std::move(connection), this->tunnels)
         ->connect(*target, [this, target = *target](bool is_connected) {
             this->options.on_connect(target, is_connected);
         });
@@ -168,7 +183,13 @@
 
 std::size_t tunnel_server::count() const noexcept
 {
-    return *this->open_tunnels;
+    return this->tunnels->size();
+}
+
+bool tunnel_server::is_responding(core::steady_time now) const
+{
+    return std::any_of(this->tunnels->begin(), this->tunnels->end(),
+                       [now](const tunnel* each) { return each->is_responding(now); });
 }
 
 } // namespace samphireway::gateway
--- a/modules/gateway/tunnel/tunnel_server.h
+++ b/modules/gateway/tunnel/tunnel_server.h
@@ -7,6 +7,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <set>
 
 namespace samphireway::gateway {
 
@@ -42,12 +43,15 @@
     /** Returns the number of open tunnels. */
     std::size_t count() const noexcept;
 
+    /** Returns whether a response is due or still passed on in a tunnel. */
+    bool is_responding(core::steady_time now) const;
+
 private:
     class tunnel;
 
     boost::asio::io_context& io;
     const tunnel_server_options options;
-    const std::shared_ptr<std::size_t> open_tunnels = std::make_shared<std::size_t>(0);
+    const std::shared_ptr<std::set<const tunnel*>> tunnels = std::make_shared<std::set<const tunnel*>>();
 };
 
 } // namespace samphireway::gateway
