List again until the whole list is taken over

What could be seen: after a partial list the upstreams behind it stay unknown for good (found by review, not seen).

Cause: the follower forgot that its list was partial when it had read a full one, which the feed may refuse as older than what another source brought meanwhile.

Change: the follower asks what is held and lists again until the feed has taken a full list over.

The order that leads to it has no test of its own.

--- a/modules/gateway/control/fleet_view.cpp
+++ b/modules/gateway/control/fleet_view.cpp
@@ -125,6 +125,12 @@
                 const std::lock_guard lock(source.mutex);
                 return source.known_revision;
             },
+        .holds_partial_list =
+            [this, kind] {
+                source_state& source = this->sources[kind];
+                const std::lock_guard lock(source.mutex);
+                return source.holds_partial_list;
+            },
         .pace = [this, kind] { return this->pace_of(kind); },
         .on_batch =
             [this, kind](followed_batch received) {
@@ -194,6 +200,7 @@
         source_state& source = this->sources[kind];
         const std::lock_guard lock(source.mutex);
         source.known_revision = this->feeds[kind].revision();
+        source.holds_partial_list = this->feeds[kind].is_partial();
     }
     if (!received.batch.changed.empty() || received.is_full_list || received.is_partial_list) {
         this->apply(kind, received);
--- a/modules/gateway/control/fleet_view.h
+++ b/modules/gateway/control/fleet_view.h
@@ -78,6 +78,7 @@
         core::steady_time connected_since;
         std::mutex mutex;
         std::optional<platform::object_version> known_revision; ///< Guarded by the mutex.
+        bool holds_partial_list = false;                        ///< Guarded by the mutex.
     };
 
     relay_subscription_options make_subscription_options();
--- a/modules/gateway/control/object_follower.cpp
+++ b/modules/gateway/control/object_follower.cpp
@@ -96,7 +96,8 @@
     // The control thread may not have applied the last batch yet.
     const std::optional<platform::object_version> known =
         this->must_list ? std::nullopt : std::max(this->options.known_revision(), this->received_revision);
-    if (known && this->list_again_at && std::chrono::steady_clock::now() >= *this->list_again_at) {
+    if (known && this->options.holds_partial_list() &&
+        std::chrono::steady_clock::now() >= this->list_again_at) {
         return this->list_again(*known);
     }
     // The first call after a failure or a sleep does not wait for changes, so that contact is known at once.
@@ -110,9 +111,6 @@
         return tl::unexpected(batch.error());
     }
     const bool is_partial_list = !known && batch->is_partial;
-    if (!known) {
-        this->list_again_at.reset();
-    }
     if (is_partial_list) {
         this->list_again_at = std::chrono::steady_clock::now() + partial_list_interval;
     }
@@ -133,7 +131,6 @@
         // Objects behind the unreadable part are known by their changes alone, so none may be skipped.
         return followed_batch{.batch = {.revision = known, .changed = {}}, .after = known};
     }
-    this->list_again_at.reset();
     return followed_batch{.batch = std::move(*batch), .is_full_list = true};
 }
 
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -40,6 +40,10 @@
     std::chrono::milliseconds initial_retry_delay{200}; ///< First delay; doubled per further failure.
     /** Returns the revision from which to watch, or nothing if the objects must be listed. */
     std::function<std::optional<platform::object_version>()> known_revision;
+    /** Returns whether the objects known are those of a list that could not be read to its end. */
+    std::function<bool()> holds_partial_list = [] {
+        return false;
+    };
     std::function<follower_pace()> pace;          ///< Called before each call, on the follower's thread.
     std::function<void(followed_batch)> on_batch; ///< Called on the follower's thread.
     std::function<void(const core::error&)> on_failure; ///< Called on the follower's thread.
@@ -83,7 +87,7 @@
     bool must_list = false;
     bool must_confirm = true;                                  ///< Whether the next watch returns at once.
     std::optional<platform::object_version> received_revision; ///< Revision of the last batch.
-    std::optional<core::steady_time> list_again_at;            ///< Set after a partial list.
+    core::steady_time list_again_at; ///< Earliest time at which a partial list is tried again.
     std::chrono::milliseconds next_retry_delay;
     std::mutex mutex;
     std::condition_variable wake;
