--- a/source/main.cpp
+++ b/source/main.cpp
@@ -8,20 +8,19 @@
 
 /** Holds back the signals that a node handles, before the libraries are initialised. */
 __attribute__((no_sanitize("address", "undefined"))) void hold_signals_of_a_node(int argc, char** argv,
-                                                                                char** /*environment*/)
+                                                                                 char** /*environment*/)
 {
     if (argc < 2) {
         return;
     }
-    const std::string_view subcommand = argv[1];
-    if (subcommand == "gateway" || subcommand == "serve") {
+    if (std::string_view(argv[1]) == "gateway") {
         samphireway::core::hold_signals();
     }
 }
 
 // The loader calls the functions in this section first.
-__attribute__((section(".preinit_array"), used)) void (*const first_initialiser)(int, char**, char**) =
-    hold_signals_of_a_node;
+__attribute__((section(".preinit_array"),
+               used)) void (*const first_initialiser)(int, char**, char**) = hold_signals_of_a_node;
 
 } // namespace
 
