Count as cut off only when another node reaches what this one does not

What was seen: when three of six upstreams crash, every node counts as cut off, helps nobody and opens its connections anew, and real crashes are not reported.

Cause: three failed connections in a row were taken for a cut; several upstreams that are down look the same from one side. A failed tunnel did not tell who failed.

Change: failures only raise a doubt. A response that breaks off in a tunnel counts against neither.

--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -332,7 +332,7 @@
     this->inactivity_timer.cancel();
     if (result == upstream_result::not_connected) {
         ++this->history.failed_connects;
-        if (this->connection->is_tunnelled()) {
+        if (this->connection->has_helper_failed()) {
             // Another node may reach the same upstream.
             this->tried_upstreams.erase(this->current_upstream->id);
             this->on_attempt_failed("no_tunnel");
@@ -343,6 +343,13 @@
         this->on_attempt_failed("not_connected");
         return;
     }
+    if (result == upstream_result::broken && this->connection->is_tunnelled()) {
+        // The helper may have failed, which says nothing of the upstream.
+        ++this->history.sends;
+        this->history.may_have_run = true;
+        this->on_attempt_failed("tunnel_broken");
+        return;
+    }
     if (result == upstream_result::broken) {
         this->context.crashes.check(*this->current_upstream, this->resolved.prompt_part_ids);
         this->fail_sent_attempt("broken");
--- a/modules/gateway/http/upstream_connection.cpp
+++ b/modules/gateway/http/upstream_connection.cpp
@@ -1,7 +1,6 @@
 #include "gateway/http/upstream_connection.h"
 
 #include "gateway/http/socket_options.h"
-#include "gateway/tunnel/tunnel_call.h"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -173,6 +172,7 @@
     asio::steady_timer timer;
     const tcp::endpoint peer;
     const upstream_link link;
+    link_outcome outcome = link_outcome::connected; ///< Of the last attempt to open the connection.
     bool is_new_connection = true;
 
 private:
@@ -197,12 +197,12 @@
         this->timer.expires_after(connect_timeout);
         this->timer.async_wait(this->guard_handler([this](error_code failure) {
             if (!failure && !this->is_open) {
-                this->on_connected(false);
+                this->on_connected(link_outcome::upstream_failed);
             }
         }));
         this->socket.async_connect(this->peer, this->guard_handler([this](error_code failure) {
             this->timer.cancel();
-            this->on_connected(!failure);
+            this->on_connected(failure ? link_outcome::upstream_failed : link_outcome::connected);
         }));
     }
 
@@ -219,16 +219,17 @@
                                 if (opened) {
                                     this->socket = std::move(*opened);
                                 }
-                                this->on_connected(opened.has_value());
+                                this->on_connected(link_outcome_of(opened));
                             });
     }
 
-    void on_connected(bool is_connected)
+    void on_connected(link_outcome result)
     {
+        this->outcome = result;
         if (this->link.on_connect) {
-            this->link.on_connect(is_connected);
+            this->link.on_connect(result);
         }
-        if (!is_connected) {
+        if (result != link_outcome::connected) {
             this->end_request(upstream_result::not_connected);
             return;
         }
@@ -436,6 +437,11 @@
     return this->state->link.helper.has_value();
 }
 
+bool upstream_connection::has_helper_failed() const noexcept
+{
+    return this->state->outcome == link_outcome::helper_failed;
+}
+
 bool upstream_connection::is_new() const noexcept
 {
     return this->state->is_new_connection;
--- a/modules/gateway/http/upstream_connection.h
+++ b/modules/gateway/http/upstream_connection.h
@@ -3,6 +3,7 @@
 #include "core/core.h"
 #include "gateway/model/member.h"
 #include "gateway/model/messages.h"
+#include "gateway/tunnel/tunnel_call.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,7 +41,7 @@
     /** The node through which the upstream is reached; empty for a connection of this node's own. */
     std::optional<member> helper;
     /** Called with the outcome of opening the connection. */
-    std::function<void(bool is_connected)> on_connect;
+    std::function<void(link_outcome outcome)> on_connect;
 };
 
 /**
@@ -83,6 +84,9 @@
     /** Returns whether the connection goes through another node. */
     bool is_tunnelled() const noexcept;
 
+    /** Returns whether the other node failed to open the connection. */
+    bool has_helper_failed() const noexcept;
+
     /** Records that the upstream refused an attempt on this connection. */
     void record_refusal(const std::string& attempt_id);
 
--- a/modules/gateway/http/upstream_pool.cpp
+++ b/modules/gateway/http/upstream_pool.cpp
@@ -36,9 +36,9 @@
     }
     const std::optional<member> helper =
         this->tunnels->is_needed() ? this->tunnels->choose() : std::optional<member>();
-    upstream_link link{.helper = helper, .on_connect = [this, endpoint, helper](bool is_connected) {
-                           helper ? this->tunnels->record_helper(helper->id, is_connected)
-                                  : this->tunnels->record_own(endpoint, is_connected);
+    upstream_link link{.helper = helper, .on_connect = [this, endpoint, helper](link_outcome outcome) {
+                           helper ? this->tunnels->record_helper(helper->id, outcome)
+                                  : this->tunnels->record_own(endpoint, outcome == link_outcome::connected);
                        }};
     return std::make_shared<upstream_connection>(this->io, endpoint, std::move(link));
 }
--- a/modules/gateway/tunnel/tunnel_call.h
+++ b/modules/gateway/tunnel/tunnel_call.h
@@ -13,6 +13,16 @@
 /** Method of the call with which a node asks another for a tunnel; its target is ADDRESS:PORT. */
 inline constexpr const char* tunnel_method = "CONNECT";
 
+/** How the opening of a connection to an upstream ended. @see link_outcome_of */
+enum class link_outcome {
+    connected,
+    upstream_failed, ///< The upstream could not be connected to, by this node or by its helper.
+    helper_failed    ///< The other node opened no tunnel; this says nothing of the upstream.
+};
+
+/** Returns how a call for a tunnel ended. */
+link_outcome link_outcome_of(const core::result<boost::asio::ip::tcp::socket>& opened);
+
 /**
     Asks another node for a tunnel to an upstream: a connection whose bytes that node passes on both ways.
 
--- a/modules/gateway/tunnel/tunnel_client.cpp
+++ b/modules/gateway/tunnel/tunnel_client.cpp
@@ -18,7 +18,12 @@
 constexpr milliseconds attempt_timeout{300};
 // With several helpers one that is cut off or stops costs little, and the load is spread.
 constexpr std::size_t wanted_helpers = 4;
-constexpr std::size_t attempts_at_once = 3;
+constexpr std::size_t attempts_at_once = 4;
+// With fewer helpers of this node's zone those of the others are used as well.
+constexpr std::size_t enough_near_helpers = 2;
+// Time in which another node may show that this one is cut off; long enough to ask the nodes of several
+// zones.
+constexpr milliseconds doubt_time{1000};
 // A tunnel may also fail because its upstream is down.
 constexpr int tolerated_failures = 3;
 constexpr milliseconds failed_helper_pause{2000};
@@ -36,11 +41,20 @@
 tunnel_client::tunnel_client(asio::io_context& context, tunnel_client_options options_to_use)
     : io(context), options(std::move(options_to_use)), reach(this->reach_options()), timer(context)
 {
-    this->reach.on_cut_off = [this] {
-        this->helpers.clear();
-        this->next_own_attempt = this->options.time.steady() + own_attempt_interval;
-        this->search();
-    };
+}
+
+upstream_reach_options tunnel_client::reach_options()
+{
+    return {.upstreams = [this] { return this->registered_upstreams().size(); },
+            .on_doubt =
+                [this] {
+                    const core::steady_time now = this->options.time.steady();
+                    this->helpers.clear();
+                    this->doubted_until = now + doubt_time;
+                    this->next_own_attempt = now + own_attempt_interval;
+                    this->search();
+                },
+            .time = this->options.time};
 }
 
 std::optional<member> tunnel_client::choose()
@@ -60,10 +74,11 @@
     is_connected ? this->reach.record_success() : this->reach.record_failure(upstream);
 }
 
-void tunnel_client::record_helper(const std::string& id, bool is_connected)
+void tunnel_client::record_helper(const std::string& id, link_outcome outcome)
 {
     helper_state& state = this->helpers[id];
-    if (is_connected) {
+    const core::steady_time now = this->options.time.steady();
+    if (outcome == link_outcome::connected) {
         if (!state.is_proven) {
             core::log_event(core::log_level::info, "helper_found", {{"node", id}});
         }
@@ -71,12 +86,16 @@
         return;
     }
     state.is_tried = false;
+    if (outcome == link_outcome::upstream_failed) {
+        state.skipped_until = state.is_proven ? core::steady_time{} : now + attempt_timeout;
+        return;
+    }
     ++state.failures;
     if (state.is_proven && state.failures < tolerated_failures) {
         return;
     }
     core::log_event(core::log_level::info, "helper_failed", {{"node", id}});
-    state = {.skipped_until = this->options.time.steady() + failed_helper_pause};
+    state = {.skipped_until = now + failed_helper_pause};
 }
 
 std::vector<member> tunnel_client::candidates(bool is_proven)
@@ -95,12 +114,10 @@
         }
         (node.availability_zone == this->options.availability_zone ? near : far).push_back(node);
     }
-    return near.empty() ? far : near;
-}
-
-upstream_reach_options tunnel_client::reach_options() const
-{
-    return {.upstreams = [this] { return this->registered_upstreams().size(); }, .time = this->options.time};
+    if (near.size() < enough_near_helpers) {
+        near.insert(near.end(), far.begin(), far.end());
+    }
+    return near;
 }
 
 std::vector<std::shared_ptr<const upstream>> tunnel_client::registered_upstreams() const
@@ -129,11 +146,16 @@
 
 void tunnel_client::search()
 {
-    if (!this->reach.is_cut_off()) {
+    if (this->reach.state() == reach_state::doubted) {
+        this->try_to_confirm();
+    }
+    else if (this->reach.state() == reach_state::cut_off) {
+        this->try_own_link();
+        this->try_helpers();
+    }
+    if (this->reach.state() == reach_state::connected) {
         return;
     }
-    this->try_own_link();
-    this->try_helpers();
     this->timer.expires_after(search_interval);
     this->timer.async_wait([this](error_code failure) {
         if (!failure) {
@@ -142,6 +164,23 @@
     });
 }
 
+void tunnel_client::try_to_confirm()
+{
+    if (this->options.time.steady() >= this->doubted_until) {
+        this->reach.dismiss_doubt();
+        return;
+    }
+    const std::set<tcp::endpoint>& failed = this->reach.failed_upstreams();
+    for (const member& node : this->draw_untried(attempts_at_once)) {
+        if (failed.empty()) {
+            return;
+        }
+        auto drawn = failed.begin();
+        std::advance(drawn, std::uniform_int_distribution<std::size_t>(0, failed.size() - 1)(this->random));
+        this->try_tunnel(node, *drawn);
+    }
+}
+
 void tunnel_client::try_helpers()
 {
     const auto proven = std::count_if(this->helpers.begin(), this->helpers.end(),
@@ -149,24 +188,36 @@
     if (static_cast<std::size_t>(proven) >= wanted_helpers) {
         return;
     }
-    std::vector<member> unknown = this->candidates(false);
-    std::erase_if(unknown, [this](const member& node) { return this->helpers[node.id].is_tried; });
-    std::shuffle(unknown.begin(), unknown.end(), this->random);
-    unknown.resize(std::min(unknown.size(), attempts_at_once));
-    for (const member& node : unknown) {
+    for (const member& node : this->draw_untried(attempts_at_once)) {
         const std::optional<tcp::endpoint> upstream = this->draw_upstream();
-        if (!upstream) {
-            return;
+        if (upstream) {
+            this->try_tunnel(node, *upstream);
         }
-        const core::steady_time deadline = this->options.time.steady() + attempt_timeout;
-        this->helpers[node.id].is_tried = true;
-        std::make_shared<tunnel_call>(this->io, node, *upstream)
-            ->start(deadline, [this, id = node.id](const core::result<tcp::socket>& opened) {
-                this->record_helper(id, opened.has_value());
-            });
     }
 }
 
+std::vector<member> tunnel_client::draw_untried(std::size_t count)
+{
+    std::vector<member> untried = this->candidates(false);
+    std::erase_if(untried, [this](const member& node) { return this->helpers[node.id].is_tried; });
+    std::shuffle(untried.begin(), untried.end(), this->random);
+    untried.resize(std::min(untried.size(), count));
+    return untried;
+}
+
+void tunnel_client::try_tunnel(const member& helper, const tcp::endpoint& upstream)
+{
+    this->helpers[helper.id].is_tried = true;
+    std::make_shared<tunnel_call>(this->io, helper, upstream)
+        ->start(this->options.time.steady() + attempt_timeout,
+                [this, id = helper.id](const core::result<tcp::socket>& opened) {
+                    this->record_helper(id, link_outcome_of(opened));
+                    if (opened) {
+                        this->reach.confirm_doubt();
+                    }
+                });
+}
+
 void tunnel_client::try_own_link()
 {
     const core::steady_time now = this->options.time.steady();
--- a/modules/gateway/tunnel/tunnel_client.h
+++ b/modules/gateway/tunnel/tunnel_client.h
@@ -30,9 +30,10 @@
 /**
     Knows whether this node is cut off from the upstreams, and through which nodes it reaches them meanwhile.
 
-    While it is cut off, it looks for helpers by opening tunnels through other nodes, and tries to connect to
-    upstreams itself, until it reaches two of them. Each node draws its helpers at random, so that the nodes
-   of a zone do not all choose the same. In calm it sends nothing. Traffic thread only.
+    When connections fail, it asks other nodes for tunnels to the same upstreams; one that is opened shows
+   that this node is cut off. While it is, it looks for further helpers and tries to connect to upstreams
+   itself, until it reaches two of them. Each node draws its helpers at random, so that the nodes of a zone do
+   not all choose the same. In calm it sends nothing. Traffic thread only.
 
     @see upstream_pool, tunnel_server
 */
@@ -43,7 +44,7 @@
     /** Returns whether connections to upstreams must be opened through other nodes. */
     bool is_needed() const noexcept
     {
-        return this->reach.is_cut_off();
+        return this->reach.state() == reach_state::cut_off;
     }
 
     /** Returns the node through which to open the next connection, or nothing if none is known. */
@@ -53,21 +54,24 @@
     void record_own(const boost::asio::ip::tcp::endpoint& upstream, bool is_connected);
 
     /** Records the outcome of a tunnel through another node. */
-    void record_helper(const std::string& id, bool is_connected);
+    void record_helper(const std::string& id, link_outcome outcome);
 
 private:
     struct helper_state {
         bool is_proven = false; ///< Whether it has opened a tunnel, and no more than a few failed since.
-        bool is_tried = false; ///< Whether a tunnel is being opened to find out.
+        bool is_tried = false;  ///< Whether a tunnel is being opened to find out.
         int failures = 0;
         core::steady_time skipped_until;
     };
 
     void search();
+    void try_to_confirm();
     void try_helpers();
+    void try_tunnel(const member& helper, const boost::asio::ip::tcp::endpoint& upstream);
+    std::vector<member> draw_untried(std::size_t count);
     void try_own_link();
     std::vector<member> candidates(bool is_proven);
-    upstream_reach_options reach_options() const;
+    upstream_reach_options reach_options();
     std::vector<std::shared_ptr<const upstream>> registered_upstreams() const;
     std::optional<boost::asio::ip::tcp::endpoint> draw_upstream();
 
@@ -78,6 +82,7 @@
     std::minstd_rand random{std::random_device{}()};
     boost::asio::steady_timer timer;
     core::steady_time next_own_attempt;
+    core::steady_time doubted_until;
 };
 
 } // namespace samphireway::gateway
