Refuse or queue a task when its worker thread cannot be started

Cause: worker_pool counted a thread before std::thread threw, so shutdown waited for a thread that never ran, and the exception went up to the caller with the task left in the queue.

Change: a thread counts once it has started. If none can be started, the task waits for one that runs, or is refused; `thread_not_started` says why. worker_pool_options::start_thread lets a test fail the start.

Evidence: worker_pool/thread_that_cannot_be_started_refuses_the_task and worker_pool/task_waits_for_a_running_thread_when_no_other_can_be_started fail with the earlier order (both time out after 20 s) and pass in three runs.

--- a/modules/core/threads/worker_pool.cpp
+++ b/modules/core/threads/worker_pool.cpp
@@ -1,9 +1,12 @@
 #include "core/threads/worker_pool.h"
 
+#include "core/log/log.h"
 #include "core/threads/guarded_run.h"
 
 #include <chrono>
+#include <system_error>
 #include <thread>
+#include <utility>
 
 namespace samphireway::core {
 
@@ -11,9 +14,25 @@
 
 constexpr std::chrono::seconds idle_thread_lifetime{60};
 
+void start_detached_thread(std::function<void()> function)
+{
+    std::thread(std::move(function)).detach();
+}
+
+worker_pool_options with_default_start(worker_pool_options options)
+{
+    if (!options.start_thread) {
+        options.start_thread = start_detached_thread;
+    }
+    return options;
+}
+
 } // namespace
 
-worker_pool::worker_pool(worker_pool_options options_to_use) : options(options_to_use) {}
+worker_pool::worker_pool(worker_pool_options options_to_use)
+    : options(with_default_start(std::move(options_to_use)))
+{
+}
 
 worker_pool::~worker_pool()
 {
@@ -32,14 +51,31 @@
         return false;
     }
     this->queue.push_back(std::move(work));
-    if (!has_free_thread && may_start_thread) {
-        ++this->threads;
-        std::thread([this] { this->run(); }).detach();
+    if (!has_free_thread && may_start_thread && !this->try_start_thread()) {
+        // A thread that runs takes the task when it is free.
+        const bool can_wait = this->threads > 0 && this->queue.size() <= this->options.maximum_queued;
+        if (!can_wait) {
+            this->queue.pop_back();
+            return false;
+        }
     }
     this->wake.notify_one();
     return true;
 }
 
+bool worker_pool::try_start_thread()
+{
+    try {
+        this->options.start_thread([this] { this->run(); });
+    }
+    catch (const std::system_error& error) {
+        log_event(log_level::error, "thread_not_started", {{"thread", "worker"}, {"reason", error.what()}});
+        return false;
+    }
+    ++this->threads;
+    return true;
+}
+
 void worker_pool::shutdown()
 {
     std::unique_lock lock(this->mutex);
--- a/modules/core/threads/worker_pool.h
+++ b/modules/core/threads/worker_pool.h
@@ -12,6 +12,8 @@
 struct worker_pool_options {
     std::size_t maximum_threads = 64;
     std::size_t maximum_queued = 1024; ///< Tasks that may wait when all threads are busy.
+    /** Runs a function on a new thread, or throws std::system_error. The default detaches the thread. */
+    std::function<void(std::function<void()>)> start_thread = {};
 };
 
 /**
@@ -31,7 +33,8 @@
     worker_pool(const worker_pool&) = delete;
     worker_pool& operator=(const worker_pool&) = delete;
 
-    /** Runs a task when a thread is free. Returns false if the queue is full or the pool is shut down. */
+    /** Runs a task when a thread is free. Returns false if the queue is full, the pool is shut down, or no
+     * thread runs and none can be started. */
     bool submit(std::function<void()> work);
 
     /** Refuses further tasks and waits for those already submitted. Idempotent. */
@@ -42,6 +45,7 @@
 
 private:
     void run();
+    bool try_start_thread();
 
     const worker_pool_options options;
     mutable std::mutex mutex;
--- a/tests/core/guarded_run_test.cpp
+++ b/tests/core/guarded_run_test.cpp
@@ -4,8 +4,12 @@
 #include <atomic>
 #include <condition_variable>
 #include <criterion/criterion.h>
+#include <functional>
 #include <mutex>
 #include <stdexcept>
+#include <system_error>
+#include <thread>
+#include <utility>
 
 namespace {
 
@@ -88,3 +92,51 @@
     cr_assert(received.wait());
     follower.stop();
 }
+
+// Guards against a pool that waits for ever, when it is shut down, for a thread that could not be started.
+Test(worker_pool, thread_that_cannot_be_started_refuses_the_task, .timeout = 20)
+{
+    bool can_start = false;
+    core::worker_pool workers{
+        core::worker_pool_options{.start_thread = [&can_start](std::function<void()> function) {
+            if (!can_start) {
+                throw std::system_error(std::make_error_code(std::errc::resource_unavailable_try_again));
+            }
+            std::thread(std::move(function)).detach();
+        }}};
+    bool has_run = false;
+    cr_expect_not(workers.submit([&has_run] { has_run = true; }));
+    cr_expect_eq(workers.thread_count(), 0);
+    can_start = true;
+    signal_flag ran;
+    cr_assert(workers.submit([&ran] { ran.set(); }));
+    cr_expect(ran.wait());
+    workers.shutdown();
+    cr_expect_not(has_run, "a refused task has run");
+}
+
+// Guards against a task that is lost or refused since a second thread cannot be started for it.
+Test(worker_pool, task_waits_for_a_running_thread_when_no_other_can_be_started, .timeout = 20)
+{
+    int starts = 0;
+    core::worker_pool workers{core::worker_pool_options{
+        .maximum_queued = 1, .start_thread = [&starts](std::function<void()> function) {
+            if (++starts > 1) {
+                throw std::system_error(std::make_error_code(std::errc::resource_unavailable_try_again));
+            }
+            std::thread(std::move(function)).detach();
+        }}};
+    signal_flag began;
+    signal_flag may_end;
+    signal_flag ran;
+    cr_assert(workers.submit([&] {
+        began.set();
+        may_end.wait();
+    }));
+    cr_assert(began.wait());
+    cr_expect(workers.submit([&ran] { ran.set(); }));
+    cr_expect_not(workers.submit([] {}), "the queue is longer than it may be");
+    may_end.set();
+    cr_expect(ran.wait());
+    workers.shutdown();
+}
