Hold back signals once a node that stops no longer handles them

What callers saw: a node that ends by a signal although it had stopped in time, if SIGHUP or another SIGTERM arrives in its last moment; a supervisor takes that for a crash.

Cause: the handlers go with the node's signal set, which restores the default action while the rest of the process is taken down.

Change: the signals are held back once the last thread of the node has ended, and stay so until the process exits.

--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -142,6 +142,8 @@
         while (!core::run_guarded("traffic", [this] { this->io.run(); })) {
         }
         this->stop_control();
+        // From here on nobody handles signals, and one that ends the process would make its exit a failure.
+        core::hold_signals();
         return this->run_outcome;
     }
 
--- a/tests/processes/gateway_process.cpp
+++ b/tests/processes/gateway_process.cpp
@@ -114,14 +114,21 @@
     if (child == 0) {
         ::prctl(PR_SET_PDEATHSIG, SIGKILL); // The node ends with the test, also if that is killed.
         ::setenv("SAMPHIREWAY_TEST_SETTINGS", settings.c_str(), 1);
+        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+        ::dup2(out, STDOUT_FILENO);
+        ::dup2(out, STDERR_FILENO);
         if (this->options.maximum_descriptors > 0) {
             const auto count = static_cast<rlim_t>(this->options.maximum_descriptors);
             const rlimit limit{.rlim_cur = count, .rlim_max = count};
             ::setrlimit(RLIMIT_NOFILE, &limit);
         }
-        const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
-        ::dup2(out, STDOUT_FILENO);
-        ::dup2(out, STDERR_FILENO);
+        if (this->options.first_descriptors > 0) {
+            ::close_range(STDERR_FILENO + 1, ~0U, 0); // Those of the test would count.
+            rlimit limit{};
+            ::getrlimit(RLIMIT_NOFILE, &limit);
+            limit.rlim_cur = static_cast<rlim_t>(this->options.first_descriptors);
+            ::setrlimit(RLIMIT_NOFILE, &limit);
+        }
         ::execl(SAMPHIREWAY_PROGRAM, SAMPHIREWAY_PROGRAM, "gateway", "--settings-variable",
                 "SAMPHIREWAY_TEST_SETTINGS", nullptr);
         ::_exit(127);
@@ -157,9 +164,7 @@
 {
     const auto deadline = std::chrono::steady_clock::now() + time;
     while (std::chrono::steady_clock::now() < deadline) {
-        std::ifstream log(this->log_path());
-        const std::string lines{std::istreambuf_iterator<char>(log), {}};
-        if (lines.find(text) != std::string::npos) {
+        if (this->read_log().find(text) != std::string::npos) {
             return true;
         }
         std::this_thread::sleep_for(poll_interval);
@@ -181,6 +186,33 @@
     return this->process == 0 && WIFEXITED(this->wait_status) && WEXITSTATUS(this->wait_status) == 0;
 }
 
+bool gateway_process::was_killed() const
+{
+    return this->process == 0 && WIFSIGNALED(this->wait_status) && WTERMSIG(this->wait_status) == SIGKILL;
+}
+
+bool gateway_process::handles_signals() const
+{
+    std::ifstream status("/proc/" + std::to_string(this->process) + "/status");
+    std::string line;
+    unsigned long long handled = 0;
+    while (std::getline(status, line)) {
+        if (line.starts_with("SigBlk:") || line.starts_with("SigCgt:")) {
+            handled |= std::stoull(line.substr(line.find(':') + 1), nullptr, 16);
+        }
+    }
+    const auto bit = [](int number) {
+        return 1ULL << static_cast<unsigned>(number - 1);
+    };
+    return (handled & bit(SIGHUP)) != 0 && (handled & bit(SIGTERM)) != 0;
+}
+
+std::string gateway_process::read_log() const
+{
+    std::ifstream log(this->log_path());
+    return {std::istreambuf_iterator<char>(log), {}};
+}
+
 bool gateway_process::is_running()
 {
     if (this->process > 0 && ::waitpid(this->process, &this->wait_status, WNOHANG) != 0) {
@@ -229,4 +261,12 @@
     return static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
 }
 
+bool gateway_process::limit_descriptors(int count) const
+{
+    rlimit limit{};
+    ::prlimit(this->process, RLIMIT_NOFILE, nullptr, &limit);
+    limit.rlim_cur = static_cast<rlim_t>(count);
+    return ::prlimit(this->process, RLIMIT_NOFILE, &limit, nullptr) == 0;
+}
+
 } // namespace samphireway::testing
--- a/tests/processes/gateway_process.h
+++ b/tests/processes/gateway_process.h
@@ -27,6 +27,7 @@
     std::string directory;
     int memory_mb = 260;
     int maximum_descriptors = 0; ///< Soft and hard limit of the process; 0 leaves the inherited one.
+    int first_descriptors = 0;   ///< Soft limit alone, which `limit_descriptors` can raise; 0 leaves it.
     bool starts_at_once = true;
 };
 
@@ -55,8 +56,17 @@
     /** Returns whether the process has ended with status 0. */
     bool has_succeeded() const;
 
+    /** Returns whether the process has ended by SIGKILL. */
+    bool was_killed() const;
+
     bool is_running();
 
+    /** Returns whether SIGHUP and SIGTERM have an effect of the node's own; before that they end the process
+     * while it is loaded. */
+    bool handles_signals() const;
+
+    std::string read_log() const;
+
     /** Returns how the process ended, with the end of its log. */
     std::string describe_end() const;
 
@@ -65,6 +75,9 @@
 
     std::size_t open_descriptors() const;
 
+    /** Sets the soft limit of open descriptors of the process. Returns whether the system allows it. */
+    bool limit_descriptors(int count) const;
+
     int requester_port() const noexcept
     {
         return this->front;
