--- a/modules/platform/objects/http_call_pool.cpp
+++ b/modules/platform/objects/http_call_pool.cpp
@@ -1,5 +1,6 @@
 #include "platform/objects/http_call_pool.h"
 
+#include <cstdint>
 #include <utility>
 
 namespace samphireway::platform {
@@ -27,7 +28,20 @@
         return core::failure(core::error_code::draining,
                              "platform call refused: the connection pool has been interrupted");
     }
-    httplib::Result answer = client->send(request);
+    const core::steady_time give_up_at =
+        std::chrono::steady_clock::now() + timeout + this->options.additional_body_time;
+    std::string body;
+    httplib::Request limited = request;
+    limited.content_receiver = [this, give_up_at, &body](const char* bytes, std::size_t count,
+                                                         std::uint64_t /*offset*/, std::uint64_t /*total*/) {
+        const bool is_too_long = body.size() + count > this->options.maximum_body_bytes;
+        if (is_too_long || std::chrono::steady_clock::now() > give_up_at) {
+            return false;
+        }
+        body.append(bytes, count);
+        return true;
+    };
+    httplib::Result answer = client->send(limited);
     this->end_call(client.get());
     if (!answer) {
         return core::failure(core::error_code::platform_unavailable,
@@ -35,6 +49,7 @@
                              verdict_of(answer.error()));
     }
     httplib::Response response = std::move(answer.value());
+    response.body = std::move(body);
     this->return_client(std::move(client));
     return response;
 }
--- a/modules/platform/objects/http_call_pool.h
+++ b/modules/platform/objects/http_call_pool.h
@@ -3,7 +3,9 @@
 #include "core/core.h"
 
 #include <chrono>
+#include <cstddef>
 #include <httplib.h>
+#include <limits>
 #include <memory>
 #include <mutex>
 #include <set>
@@ -17,6 +19,10 @@
     std::string address; ///< IP address of the server.
     int port = 0;
     std::chrono::milliseconds connect_timeout{1000};
+    /** A longer body fails the call. */
+    std::size_t maximum_body_bytes = std::numeric_limits<std::size_t>::max();
+    /** A body may take this much longer than the timeout of the call, which holds for each read. */
+    std::chrono::milliseconds additional_body_time{std::chrono::minutes(10)};
 };
 
 /**
