Wait for descriptors that are used up when a node starts

What callers saw: a node that ends at its start and does not come back while no descriptor is free.

Cause: the construction of a node threw (epoll, the pipe for signals), which nobody caught, and a port that could not be opened for want of a descriptor counted as an error that does not pass.

Probes say that it is not ready.

--- a/modules/gateway/http/socket_options.cpp
+++ b/modules/gateway/http/socket_options.cpp
@@ -61,11 +61,15 @@
         acceptor.listen(backlog, failure);
     }
     if (failure) {
-        const bool may_pass = failure == boost::asio::error::address_in_use ||
+        const bool is_taken = failure == boost::asio::error::address_in_use ||
                               failure == boost::system::errc::address_not_available;
+        const bool is_used_up = failure == boost::system::errc::too_many_files_open ||
+                                failure == boost::system::errc::too_many_files_open_in_system;
         boost::system::error_code ignored; // The reason to report is that of the failed call.
         acceptor.close(ignored);
-        return core::failure(may_pass ? core::error_code::conflict : core::error_code::internal,
+        return core::failure(is_taken     ? core::error_code::conflict
+                             : is_used_up ? core::error_code::overloaded
+                                          : core::error_code::internal,
                              "cannot listen on " + address.address().to_string() + ":" +
                                  std::to_string(address.port()) + ": " + failure.message());
     }
--- a/modules/gateway/http/socket_options.h
+++ b/modules/gateway/http/socket_options.h
@@ -29,7 +29,7 @@
 bool has_unacknowledged_data(boost::asio::ip::tcp::socket& socket);
 
 /** Binds an acceptor to an address and starts listening. Fails with `conflict` if the address is in use or
- * missing, which may pass, and else with `internal`. */
+ * missing, and with `overloaded` if no descriptor is free, which may pass, and else with `internal`. */
 core::result<void> listen_on(boost::asio::ip::tcp::acceptor& acceptor,
                              const boost::asio::ip::tcp::endpoint& address, int backlog);
 
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -149,7 +149,7 @@
 
 private:
     /** Opens the ports and starts to serve. Another program may hold one of them for a moment, as the end of
-     * a connection, so tries again until all are open. */
+     * a connection, or all descriptors may be in use, so tries again until all are open. */
     void open_ports()
     {
         // Requesters connect last; until then probes say that the node is not ready.
@@ -164,7 +164,8 @@
             this->start_serving();
             return;
         }
-        if (listening.error().code != core::error_code::conflict) {
+        const bool is_used_up = listening.error().code == core::error_code::overloaded;
+        if (listening.error().code != core::error_code::conflict && !is_used_up) {
             this->run_outcome = listening;
             this->io.stop();
             return;
@@ -172,7 +173,8 @@
         const core::steady_time now = clock::now();
         if (now >= this->next_port_report) {
             this->next_port_report = now + port_report_interval;
-            core::log_event(core::log_level::warning, "port_taken", {{"reason", listening.error().message}});
+            core::log_event(core::log_level::warning, is_used_up ? "descriptors_used_up" : "port_taken",
+                            {{"reason", listening.error().message}});
             core::flush_buffered_log();
         }
         this->port_timer.expires_after(port_retry_delay);
--- a/tests/processes/starting_nodes_test.cpp
+++ b/tests/processes/starting_nodes_test.cpp
@@ -200,3 +200,52 @@
     cr_expect(node.wait_ready(5s));
     cr_expect(node.is_running(), "%s", node.describe_end().c_str());
 }
+
+// Guards against a node that ends since the descriptors for its ports are used up when it starts.
+Test(starting_nodes, descriptors_that_are_used_up_do_not_end_a_node, .timeout = 60)
+{
+    small_deployment deployment;
+    for (const int limit : {8, 9, 10}) {
+        gateway_process node({.id = "node-" + std::to_string(limit),
+                              .store_port = deployment.store.port(),
+                              .directory = deployment.directory.path,
+                              .first_descriptors = limit});
+        cr_expect_not(node.wait_ready(500ms), "%d: ready without its ports", limit);
+        cr_assert(node.is_running(), "%s", node.describe_end().c_str());
+        cr_expect(node.wait_log("event=descriptors_used_up", 2s), "%s", node.describe_end().c_str());
+        cr_expect(node.limit_descriptors(100));
+        cr_expect(node.wait_ready(10s), "%s", node.describe_end().c_str());
+    }
+}
+
+// Guards against a node that ends since descriptors are used up when it is constructed.
+Test(starting_nodes, descriptors_that_are_used_up_delay_the_construction, .timeout = 60)
+{
+    small_deployment deployment;
+    for (const int limit : {4, 7}) {
+        gateway_process node({.id = "node-" + std::to_string(limit),
+                              .store_port = deployment.store.port(),
+                              .directory = deployment.directory.path,
+                              .first_descriptors = limit});
+        cr_expect(node.wait_log("event=node_not_constructed", 2s), "%s", node.describe_end().c_str());
+        cr_assert(node.is_running(), "%s", node.describe_end().c_str());
+        cr_expect(node.limit_descriptors(100));
+        cr_expect(node.wait_ready(10s), "%s", node.describe_end().c_str());
+    }
+}
+
+// Guards against a node that cannot be stopped while it waits for descriptors.
+Test(starting_nodes, node_that_waits_for_descriptors_stops, .timeout = 60)
+{
+    small_deployment deployment;
+    for (const int limit : {4, 7, 10}) {
+        gateway_process node({.id = "node-" + std::to_string(limit),
+                              .store_port = deployment.store.port(),
+                              .directory = deployment.directory.path,
+                              .first_descriptors = limit});
+        std::this_thread::sleep_for(1s);
+        node.signal(SIGTERM);
+        cr_expect(node.wait_end(8s));
+        cr_expect(node.has_succeeded(), "%s", node.describe_end().c_str());
+    }
+}
