Keep the refusals of a brittle upstream under what it stands

What upstreams saw: one that says in its answers that it falls over when it refuses more than some requests in a second got as many requests as any other. When its room for waiting shrank, the nodes kept sending until it fell over.

Cause: the header Server-Brittle was not read, and a refusal kept a node from an upstream for 0.2 s only, and only while another had room.

Change: brittle_upstreams divides seats at such upstreams among the nodes without messages: the slots, and two thirds of the refusals that the upstream stands. A refused or abandoned request keeps its seat for 1.3 s, so the seats cause at most those two thirds in a second, however little room is left. Until the requests from before the notice have left the queue, which an answer to a later one shows, and after each refusal, a node sends in its turns only; these have the last third. Notices hold for all upstreams of the service that the node has not heard since, and end with a successful answer without the header. An upstream without a seat is passed over like one at its limit; what no upstream may take is refused at once with the time at which a seat is expected.

--- a/modules/gateway/exchange/counters.h
+++ b/modules/gateway/exchange/counters.h
@@ -15,6 +15,7 @@
     std::int64_t retries = 0;
     std::int64_t resumed_streams = 0;
     std::int64_t choices_limited = 0; ///< Times an upstream was passed over because of its limit.
+    std::int64_t choices_brittle = 0; ///< Times a brittle upstream was passed over without a seat.
     std::int64_t requests_in_flight = 0;
     std::int64_t responses_in_delivery = 0; ///< Complete responses with bytes that are not written yet.
     std::int64_t requester_connections = 0;
--- a/modules/gateway/exchange/exchange.cpp
+++ b/modules/gateway/exchange/exchange.cpp
@@ -163,6 +163,7 @@
     this->context.loads.begin(target->id);
     const core::steady_time now = clock::now();
     this->context.limits.count(*target);
+    this->context.brittle.count(*target);
     this->attempt_started = now;
     this->attempt_first_output.reset();
     this->has_attempt_head = false;
@@ -235,6 +236,12 @@
     else if (!facts.names_limit && received.status / 100 == 2) {
         this->context.limits.record_none(*this->current_upstream);
     }
+    if (facts.refusals_per_second) {
+        this->context.brittle.record(*this->current_upstream, *facts.refusals_per_second);
+    }
+    else if (!facts.names_brittle && received.status / 100 == 2) {
+        this->context.brittle.record_none(*this->current_upstream);
+    }
     this->has_attempt_head = received.status / 100 == 2;
     this->is_attempt_framed = has_framed_body(received);
     if (!this->has_begun_stream) {
@@ -304,6 +311,7 @@
     }
     if (!this->attempt_first_output) {
         this->attempt_first_output = clock::now();
+        this->context.brittle.record_accepted(*this->current_upstream, this->attempt_started);
     }
     if (!this->has_begun_stream) {
         this->has_begun_stream = true;
@@ -367,12 +375,16 @@
         }
         else {
             this->context.loads.mark_full(this->current_upstream->id, now);
+            this->context.brittle.record_refused(*this->current_upstream);
         }
         this->release_upstream(true);
         this->on_attempt_failed("refused_by_upstream");
         return;
     }
     this->history.may_have_run = true;
+    if (this->has_attempt_head) {
+        this->context.brittle.record_accepted(*this->current_upstream, this->attempt_started);
+    }
     if (this->disposition == response_disposition::unusable) {
         this->context.health.record_failure(this->current_upstream->id, false, now);
         this->observe_attempt(true);
@@ -497,6 +509,7 @@
         this->context.pool.release(this->current_upstream->id, ended, clock::now());
         return;
     }
+    this->context.brittle.record_abandoned(*this->current_upstream);
     ended->close();
 }
 
--- a/modules/gateway/exchange/gateway_context.h
+++ b/modules/gateway/exchange/gateway_context.h
@@ -8,6 +8,7 @@
 #include "gateway/exchange/memory_account.h"
 #include "gateway/http/upstream_pool.h"
 #include "gateway/model/header_dialect.h"
+#include "gateway/placement/brittle_upstreams.h"
 #include "gateway/placement/load_tracker.h"
 #include "gateway/placement/upstream_limits.h"
 #include "gateway/placement/upstream_notices.h"
@@ -62,6 +63,12 @@
     upstream_pool pool{this->io, &this->tunnels};
     load_tracker loads = {};
     upstream_notices notices = {};
+    brittle_upstreams brittle{{.node = this->node,
+                               .members = [this] { return this->board.members.read(); },
+                               .upstreams =
+                                   [this] {
+                                       return this->board.upstreams.read();
+                                   }}};
     drain_state drain = {};
     counters counts = {};
 };
--- a/modules/gateway/exchange/upstream_choice.cpp
+++ b/modules/gateway/exchange/upstream_choice.cpp
@@ -42,15 +42,18 @@
         if (search.tried.contains(entry->id) || !context.notices.allows(*entry, now)) {
             continue;
         }
-        const bool is_at_limit = !context.limits.allows(*entry);
-        context.counts.choices_limited += is_at_limit ? 1 : 0;
+        const upstream_load load = context.loads.read(entry->id);
+        const bool is_over_rate = !context.limits.allows(*entry);
+        context.counts.choices_limited += is_over_rate ? 1 : 0;
+        const bool has_seat = context.brittle.allows(*entry, load.in_flight);
+        context.counts.choices_brittle += has_seat ? 0 : 1;
+        const bool is_at_limit = is_over_rate || !has_seat;
         const bool is_ejected = context.health.is_ejected(entry->id);
         const bool is_trial = is_ejected && !is_at_limit && search.is_idempotent &&
                               context.health.check(entry->id, now) == routing::health_state::trial;
         if (is_trial) {
             return entry;
         }
-        const upstream_load load = context.loads.read(entry->id);
         usable.push_back(entry);
         candidates.push_back(
             placement_candidate{.id = entry->id,
@@ -58,7 +61,7 @@
                                 .is_same_zone = entry->availability_zone == context.availability_zone,
                                 .is_full = now < load.full_until,
                                 .is_ejected = is_ejected,
-                                .has_limit = context.limits.has_limit(*entry),
+                                .has_limit = context.limits.has_limit(*entry) || !has_seat,
                                 .is_at_limit = is_at_limit});
     }
     const std::optional<std::size_t> chosen =
@@ -92,7 +95,8 @@
     }
     for (const std::shared_ptr<const upstream>& entry : table->by_service.at(service_name)) {
         const core::steady_time end =
-            std::max(context.notices.pause_end(*entry, now).value_or(now), context.limits.next_slot(*entry));
+            std::max({context.notices.pause_end(*entry, now).value_or(now), context.limits.next_slot(*entry),
+                      context.brittle.next_seat(*entry, context.loads.read(entry->id).in_flight)});
         if (end > now && (!earliest || end < *earliest)) {
             earliest = end;
         }
--- a/modules/gateway/exchange/upstream_choice.h
+++ b/modules/gateway/exchange/upstream_choice.h
@@ -26,8 +26,8 @@
 std::shared_ptr<const upstream> find_upstream(gateway_context& context, const upstream_search& search,
                                               core::steady_time now);
 
-/** Returns when the first upstream of a service that asked for a pause, or whose limit is used up, takes
- * requests of this node again; empty if there is none. */
+/** Returns when the first upstream of a service that asked for a pause, whose limit is used up, or that is
+ * brittle and has no seat left, takes requests of this node again; empty if there is none. */
 std::optional<core::steady_time> find_next_capacity(const gateway_context& context,
                                                     const std::string& service_name, core::steady_time now);
 
--- a/modules/gateway/model/messages.h
+++ b/modules/gateway/model/messages.h
@@ -84,6 +84,9 @@
     bool names_limit = false; ///< Whether the response has a limit, legible or not.
     /** Requests per second that the upstream takes from all nodes together. */
     std::optional<double> limit = std::nullopt;
+    bool names_brittle = false; ///< Whether the response says that the upstream is brittle, legible or not.
+    /** Refusals in a second that the upstream stands; it falls over if there are more. */
+    std::optional<double> refusals_per_second = std::nullopt;
 };
 
 } // namespace samphireway::gateway
--- a/modules/gateway/process/gateway_metrics.cpp
+++ b/modules/gateway/process/gateway_metrics.cpp
@@ -30,7 +30,8 @@
 
 std::string write_metrics(const counters& counts, const upstream_table& known,
                           std::uint64_t opened_connections, const routing::health_table& health,
-                          const rollout_controller& rollouts, const upstream_limits& limits)
+                          const rollout_controller& rollouts, const upstream_limits& limits,
+                          const brittle_upstreams& brittle)
 {
     metrics::text_writer writer;
     writer.begin("samphireway_requests_total", "counter", "Ended requests by outcome.");
@@ -66,6 +67,12 @@
     writer.begin("samphireway_limited_choices_total", "counter",
                  "Times an upstream was passed over because of its limit.");
     writer.add({}, counts.choices_limited);
+    writer.begin("samphireway_brittle_upstreams", "gauge",
+                 "Upstreams that fall over when they have to refuse too much.");
+    writer.add({}, static_cast<std::int64_t>(brittle.size()));
+    writer.begin("samphireway_brittle_choices_total", "counter",
+                 "Times a brittle upstream was passed over because this node had no seat left there.");
+    writer.add({}, counts.choices_brittle);
     writer.begin("samphireway_rollout_requests_total", "counter",
                  "Requests during a roll-out by service and version.");
     for (const auto& [service, count] : rollouts.counts()) {
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -608,6 +608,7 @@
             this->context.pool.sweep(*known, clock::now());
             this->context.notices.sweep(*known);
             this->limits.sweep(*known);
+            this->context.brittle.sweep(*known);
         }
         this->budget.sweep(clock::now());
     }
--- a/modules/gateway/process/internal_endpoints.cpp
+++ b/modules/gateway/process/internal_endpoints.cpp
@@ -79,7 +79,8 @@
     const upstream_table none;
     return internal_response{.body = write_metrics(this->context.counts, published ? *published : none,
                                                    this->context.pool.opened(), this->context.health,
-                                                   this->context.rollouts, this->context.limits),
+                                                   this->context.rollouts, this->context.limits,
+                                                   this->context.brittle),
                              .content_type = "text/plain; version=0.0.4"};
 }
 
