Leave a silent peer the time of all keep-alive probes

What could be seen: a connection to a sound upstream that falls silent for a second breaks off in the middle of a response.

Cause: TCP_USER_TIMEOUT decides when probes give up, whatever their count: at 1.5 s the first unanswered probe ended a connection, which may be 1.1 s after the last sign of life.

Change: 2.5 s, longer than the time to the last probe, so that a connection ends after three seconds without an answer, as set. Data that stays unacknowledged ends a connection after 2.5 s.

--- a/modules/gateway/http/socket_options.h
+++ b/modules/gateway/http/socket_options.h
@@ -9,8 +9,10 @@
 
 /** Limits after which a connection to an unresponsive peer fails. @see set_socket_options */
 struct unresponsive_peer_limits {
-    std::chrono::milliseconds unacknowledged_data{1500}; ///< Longest wait for an ACK; TCP_USER_TIMEOUT.
-    std::chrono::seconds keep_alive_idle{1};             ///< Idle time before the first keep-alive probe.
+    /** Longest wait for an ACK; TCP_USER_TIMEOUT. It also ends a connection at the first unanswered probe
+     * after this time, so it is longer than the time to the last probe. */
+    std::chrono::milliseconds unacknowledged_data{2500};
+    std::chrono::seconds keep_alive_idle{1}; ///< Idle time before the first keep-alive probe.
     int keep_alive_probes = 2; ///< Unanswered probes, one a second, after which the connection fails.
 };
 
