--- a/tests/processes/lost_upstreams_test.cpp
+++ b/tests/processes/lost_upstreams_test.cpp
@@ -35,8 +35,8 @@
 
 } // namespace
 
-// Guards against nodes that take the crash of some upstreams for a cut of their own links, while they serve by
-// the others: they would give up sound connections, help no node and drop what they know of crashes.
+// Guards against nodes that take the crash of some upstreams for a cut of their own links, while they serve
+// by the others: they would give up sound connections, help no node and drop what they know of crashes.
 Test(lost_upstreams, crash_of_three_of_six_upstreams_is_no_cut, .timeout = 60)
 {
     const temporary_directory directory;
@@ -46,8 +46,8 @@
     std::vector<std::unique_ptr<stage::engine>> upstreams;
     for (int index = 0; index < upstream_count; ++index) {
         upstreams.push_back(std::make_unique<stage::engine>(
-            store, notes,
-            stage::engine_options{.id = "desk-" + std::to_string(index), .service = "desk"}, serve));
+            store, notes, stage::engine_options{.id = "desk-" + std::to_string(index), .service = "desk"},
+            serve));
     }
     {
         gateway_process first({.id = "node-1", .store_port = store.port(), .directory = directory.path});
--- a/tests/processes/stopping_helper_test.cpp
+++ b/tests/processes/stopping_helper_test.cpp
@@ -40,8 +40,8 @@
         cr_assert_not(token.empty(), "the node did not register itself");
         const auto tunnel = stage::channel::connect(node.internal_port());
         const std::string target = "127.0.0.1:" + std::to_string(upstream.port());
-        tunnel->write("CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\nAuthorization: Bearer " + token +
-                      "\r\n\r\n");
+        tunnel->write("CONNECT " + target + " HTTP/1.1\r\nHost: " + target + "\r\nAuthorization: Bearer " +
+                      token + "\r\n\r\n");
         while (tunnel->buffer.find("\r\n\r\n") == std::string::npos && tunnel->fill()) {
         }
         cr_assert(tunnel->buffer.starts_with("HTTP/1.1 200"), "%s", tunnel->buffer.c_str());
