Leave review/ as the review left it, and share the fixture of process tests

The paging of lists, the decoding of targets and the loss of history had been added to the review's stand-in of the store. They are a stand-in of their own now, paging_store, through which the nodes see the review's store; review/ is as in.

The store with a small configuration, the answering upstream and the 20 counted requests stood in up to four files and are in small_deployment.

--- a/review/stage/stage.cc
+++ b/review/stage/stage.cc
@@ -89,23 +89,6 @@
     return false;
 }
 
-/** Decodes a value of a form or a segment of a path. */
-std::string decode(const std::string& text, bool is_form)
-{
-    std::string result;
-    for (std::size_t at = 0; at < text.size(); ++at) {
-        if (text[at] == '%' && at + 2 < text.size() && std::isxdigit(static_cast<unsigned char>(text[at + 1])) &&
-            std::isxdigit(static_cast<unsigned char>(text[at + 2]))) {
-            result += static_cast<char>(std::stoi(text.substr(at + 1, 2), nullptr, 16));
-            at += 2;
-        }
-        else {
-            result += is_form && text[at] == '+' ? ' ' : text[at];
-        }
-    }
-    return result;
-}
-
 std::map<std::string, std::string> parse_query(const std::string& text)
 {
     std::map<std::string, std::string> result;
@@ -113,7 +96,7 @@
     std::string item;
     while (std::getline(stream, item, '&')) {
         const auto equals = item.find('=');
-        result[item.substr(0, equals)] = equals == std::string::npos ? "" : decode(item.substr(equals + 1), true);
+        result[item.substr(0, equals)] = equals == std::string::npos ? "" : item.substr(equals + 1);
     }
     return result;
 }
@@ -405,22 +388,11 @@
     }
 }
 
-store::store(record& notes_to_use, std::size_t page_entries_to_use)
-    : notes(notes_to_use), page_entries(page_entries_to_use)
+store::store(record& notes_to_use) : notes(notes_to_use)
 {
     this->listening = std::make_unique<server>([this](channel& from) { this->serve(from); });
 }
 
-void store::forget_history()
-{
-    {
-        const std::lock_guard lock(this->mutex);
-        this->oldest_watched = ++this->revision;
-        this->history.clear();
-    }
-    this->changed.notify_all();
-}
-
 void store::stop()
 {
     {
@@ -482,15 +454,12 @@
 
 std::pair<int, Json::Value> store::answer(const request& call)
 {
-    if (call.target.find_first_of("# ") != std::string::npos) {
-        return {400, Json::Value(Json::objectValue)};
-    }
     const auto mark = call.target.find('?');
     std::vector<std::string> path;
     std::istringstream parts(call.target.substr(1, mark == std::string::npos ? mark : mark - 1));
     std::string part;
     while (std::getline(parts, part, '/')) {
-        path.push_back(decode(part, false));
+        path.push_back(part);
     }
     std::map<std::string, std::string> query =
         parse_query(mark == std::string::npos ? "" : call.target.substr(mark + 1));
@@ -511,27 +480,14 @@
                    ? std::pair<int, Json::Value>{404, Json::Value(Json::objectValue)}
                    : std::pair<int, Json::Value>{200, found->second};
     }
-    return {200, this->list(path[1], query["afterRev"])};
-}
-
-Json::Value store::list(const std::string& kind, const std::string& after) const
-{
-    Json::Value page;
-    page["items"] = Json::Value(Json::arrayValue);
-    page["hasMore"] = false;
-    page["at"] = static_cast<Json::Int64>(this->revision);
-    const auto objects = this->kinds.find(kind);
-    if (objects == this->kinds.end()) {
-        return page;
-    }
-    for (auto entry = objects->second.upper_bound(after); entry != objects->second.end(); ++entry) {
-        if (page["items"].size() == this->page_entries) {
-            page["hasMore"] = true;
-            break;
-        }
-        page["items"].append(entry->second);
+    Json::Value list;
+    list["items"] = Json::Value(Json::arrayValue);
+    for (const auto& [name, object] : this->kinds[path[1]]) {
+        list["items"].append(object);
     }
-    return page;
+    list["hasMore"] = false;
+    list["at"] = static_cast<Json::Int64>(this->revision);
+    return {200, list};
 }
 
 std::pair<int, Json::Value> store::watch(const std::string& kind, std::int64_t after, milliseconds wait)
@@ -541,9 +497,6 @@
     Json::Value batch;
     batch["events"] = Json::Value(Json::arrayValue);
     while (true) {
-        if (after < this->oldest_watched) {
-            return {410, Json::Value(Json::objectValue)};
-        }
         for (const event& entry : this->history) {
             if (entry.kind == kind && entry.revision > after) {
                 Json::Value item;
--- a/review/stage/stage.hh
+++ b/review/stage/stage.hh
@@ -116,15 +116,12 @@
 /** The platform's object store. */
 class store {
 public:
-    /** `page_entries` is the largest number of entries in one answer to a list. */
-    explicit store(record& notes, std::size_t page_entries = 500);
+    explicit store(record& notes);
 
     int port() const { return this->listening->port(); }
     /** Writes an object as an operator or an engine does. Returns the revision. */
     std::int64_t set(const std::string& kind, const std::string& name, const Json::Value& spec);
     Json::Value get(const std::string& kind, const std::string& name);
-    /** Keeps no earlier changes, so that watches from there get 410. */
-    void forget_history();
     void stop();
 
     /** A text of a spec that the store's answers hold as the escape of one half of a surrogate pair. */
@@ -140,17 +137,14 @@
 
     void serve(channel& from);
     std::pair<int, Json::Value> answer(const request& call);
-    Json::Value list(const std::string& kind, const std::string& after) const;
     std::pair<int, Json::Value> watch(const std::string& kind, std::int64_t after, milliseconds wait);
     std::pair<int, Json::Value> write(const request& call, const std::vector<std::string>& path);
     void notify(const std::string& kind, const Json::Value& object, bool is_deleted);
 
     record& notes;
-    const std::size_t page_entries;
     std::mutex mutex;
     std::condition_variable changed;
     std::int64_t revision = 100;
-    std::int64_t oldest_watched = 0; ///< Watches from earlier revisions get 410.
     bool is_stopping = false;
     std::map<std::string, std::map<std::string, Json::Value>> kinds;
     std::deque<event> history;
--- a/tests/processes/ending_nodes_test.cpp
+++ b/tests/processes/ending_nodes_test.cpp
@@ -1,4 +1,4 @@
-#include "processes/gateway_process.h"
+#include "processes/small_deployment.h"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -13,26 +13,6 @@
 using namespace samphireway::testing;
 using namespace std::chrono_literals;
 
-/** A store with the configuration of a small deployment. */
-class small_deployment {
-public:
-    small_deployment()
-    {
-        std::signal(SIGPIPE, SIG_IGN); // A node that has ended does not end the test.
-        this->store.set("config", "main", stage::small_configuration());
-    }
-    ~small_deployment()
-    {
-        this->store.stop();
-    }
-    small_deployment(const small_deployment&) = delete;
-    small_deployment& operator=(const small_deployment&) = delete;
-
-    const temporary_directory directory;
-    stage::record notes{this->directory.path + "/record.txt"};
-    stage::store store{this->notes};
-};
-
 std::size_t count_in_log(const gateway_process& node, const std::string& text)
 {
     const std::string log = node.read_log();
@@ -59,8 +39,7 @@
     constexpr int repeats = 10;
     for (int repeat = 0; repeat < repeats; ++repeat) {
         small_deployment deployment;
-        gateway_process node(
-            {.id = "node-1", .store_port = deployment.store.port(), .directory = deployment.directory.path});
+        gateway_process node(deployment.node_options());
         cr_assert(node.wait_ready(10s), "%s", node.describe_end().c_str());
         node.signal(SIGTERM);
         cr_expect(send_until_end(node, number, 50us), "%s", node.describe_end().c_str());
@@ -87,8 +66,7 @@
 {
     constexpr int replacements = 20;
     small_deployment deployment;
-    gateway_process node(
-        {.id = "node-1", .store_port = deployment.store.port(), .directory = deployment.directory.path});
+    gateway_process node(deployment.node_options());
     std::ifstream written(node.settings_path());
     const std::string text{std::istreambuf_iterator<char>(written), {}};
     cr_assert(node.wait_ready(10s));
@@ -118,10 +96,9 @@
 {
     constexpr std::size_t clients = 150;
     small_deployment deployment;
-    gateway_process node({.id = "node-1",
-                          .store_port = deployment.store.port(),
-                          .directory = deployment.directory.path,
-                          .maximum_descriptors = 60});
+    gateway_process_options options = deployment.node_options();
+    options.maximum_descriptors = 60;
+    gateway_process node(options);
     cr_assert(node.wait_ready(10s), "%s", node.describe_end().c_str());
     {
         std::vector<std::unique_ptr<stage::channel>> held;
@@ -130,7 +107,7 @@
                 stage::channel::connect(held.size() % 2 == 0 ? node.requester_port() : node.internal_port()));
         }
         deployment.store.set("config", "main", stage::small_configuration(8));
-        deployment.store.forget_history();
+        deployment.pages.forget_history();
         std::this_thread::sleep_for(4s);
         cr_assert(node.is_running(), "%s", node.describe_end().c_str());
     }
--- a/tests/processes/lost_upstreams_test.cpp
+++ b/tests/processes/lost_upstreams_test.cpp
@@ -1,4 +1,4 @@
-#include "processes/gateway_process.h"
+#include "processes/small_deployment.h"
 
 #include <criterion/criterion.h>
 #include <cstdio>
@@ -15,43 +15,22 @@
 constexpr int upstream_count = 6;
 constexpr int lost_count = 3;
 
-/** Answers every request. */
-bool serve(stage::channel& to, stage::request& received)
-{
-    to.write(stage::head_of_success(received, "text/plain") + "Content-Length: 4\r\n\r\nopen");
-    return true;
-}
-
-/** Sends a request that any upstream of `desk` can answer. Returns whether it was served. */
-bool is_served(const gateway_process& node, int number)
-{
-    const auto to = stage::channel::connect(node.requester_port());
-    to->write(stage::request_text({.path = "/status/1",
-                                   .method = "GET",
-                                   .attempt_id = "a" + std::to_string(number),
-                                   .deadline_ms = 2000}));
-    return stage::read_response(*to).status == 200;
-}
-
 } // namespace
 
 // Guards against nodes that take the crash of some upstreams for a cut of their own links, while they serve
 // by the others: they would give up sound connections, help no node and drop what they know of crashes.
 Test(lost_upstreams, crash_of_three_of_six_upstreams_is_no_cut, .timeout = 60)
 {
-    const temporary_directory directory;
-    stage::record notes(directory.path + "/record.txt");
-    stage::store store(notes);
-    store.set("config", "main", stage::small_configuration());
+    small_deployment deployment;
     std::vector<std::unique_ptr<stage::engine>> upstreams;
     for (int index = 0; index < upstream_count; ++index) {
         upstreams.push_back(std::make_unique<stage::engine>(
-            store, notes, stage::engine_options{.id = "desk-" + std::to_string(index), .service = "desk"},
-            serve));
+            deployment.store, deployment.notes,
+            stage::engine_options{.id = "desk-" + std::to_string(index), .service = "desk"}, serve_text));
     }
     {
-        gateway_process first({.id = "node-1", .store_port = store.port(), .directory = directory.path});
-        gateway_process second({.id = "node-2", .store_port = store.port(), .directory = directory.path});
+        gateway_process first(deployment.node_options("node-1"));
+        gateway_process second(deployment.node_options("node-2"));
         int number = 0;
         int served = 0;
         for (gateway_process* const node : {&first, &second}) {
@@ -79,5 +58,4 @@
     for (const auto& each : upstreams) {
         each->stop();
     }
-    store.stop();
 }
--- a/tests/processes/soak_test.cpp
+++ b/tests/processes/soak_test.cpp
@@ -1,4 +1,4 @@
-#include "processes/gateway_process.h"
+#include "processes/small_deployment.h"
 
 #include <algorithm>
 #include <array>
@@ -257,15 +257,12 @@
 public:
     explicit soak(unsigned seed) : random(seed)
     {
-        std::signal(SIGPIPE, SIG_IGN);
-        this->platform.set("config", "main", stage::small_configuration());
-        this->first_engine.emplace(this->platform, this->notes,
+        this->first_engine.emplace(this->deployment.store, this->deployment.notes,
                                    stage::engine_options{.id = "i-desk-1", .service = "desk"}, serve);
-        this->second_engine.emplace(this->platform, this->notes,
+        this->second_engine.emplace(this->deployment.store, this->deployment.notes,
                                     stage::engine_options{.id = "z-desk-2", .service = "desk"}, serve);
         for (const char* const id : {"node-1", "node-2"}) {
-            this->nodes.push_back(std::make_unique<soak_node>(gateway_process_options{
-                .id = id, .store_port = this->platform.port(), .directory = this->directory.path}));
+            this->nodes.push_back(std::make_unique<soak_node>(this->deployment.node_options(id)));
         }
     }
 
@@ -274,7 +271,6 @@
         this->nodes.clear();
         this->first_engine->stop();
         this->second_engine->stop();
-        this->platform.stop();
     }
 
     soak(const soak&) = delete;
@@ -367,7 +363,7 @@
             node.kill();
             break;
         case 7:
-            this->platform.set("config", "main", stage::small_configuration(++this->version));
+            this->deployment.store.set("config", "main", stage::small_configuration(++this->version));
             break;
         default:
             this->add_foreign_entry();
@@ -391,17 +387,12 @@
     {
         const std::vector<std::string> names{"m&x", "m#x", "m%41x", "m%x",  "m+x", "m x",
                                              "m/x", "m?x", "m=x",   "zz&x", "0#x", std::string(1000, 'm')};
-        Json::Value entry;
-        entry["service"] = "desk";
-        entry["written_by"] = "an inventory tool";
-        this->platform.set("servers", names[this->random() % names.size()], entry);
+        this->deployment.add_foreign_entry(names[this->random() % names.size()]);
     }
 
     std::mt19937 random;
     int version = 7;
-    const temporary_directory directory;
-    stage::record notes{this->directory.path + "/record.txt"};
-    stage::store platform{this->notes, 2};
+    small_deployment deployment{2};
     std::optional<stage::engine> first_engine;
     std::optional<stage::engine> second_engine;
     std::multimap<steady::time_point, std::function<void()>> due;
--- a/tests/processes/starting_nodes_test.cpp
+++ b/tests/processes/starting_nodes_test.cpp
@@ -1,4 +1,4 @@
-#include "processes/gateway_process.h"
+#include "processes/small_deployment.h"
 
 #include <arpa/inet.h>
 #include <criterion/criterion.h>
@@ -16,26 +16,6 @@
 using namespace samphireway::testing;
 using namespace std::chrono_literals;
 
-/** A store with the configuration of a small deployment. */
-class small_deployment {
-public:
-    small_deployment()
-    {
-        std::signal(SIGPIPE, SIG_IGN); // A node that has ended does not end the test.
-        this->store.set("config", "main", stage::small_configuration());
-    }
-    ~small_deployment()
-    {
-        this->store.stop();
-    }
-    small_deployment(const small_deployment&) = delete;
-    small_deployment& operator=(const small_deployment&) = delete;
-
-    const temporary_directory directory;
-    stage::record notes{this->directory.path + "/record.txt"};
-    stage::store store{this->notes};
-};
-
 /** A connection of another program whose own end has a given port. */
 class connection_from_port {
 public:
@@ -111,10 +91,7 @@
 Test(starting_nodes, series_of_hangups_does_not_end_a_node, .timeout = 60)
 {
     small_deployment deployment;
-    gateway_process node({.id = "node-1",
-                          .store_port = deployment.store.port(),
-                          .directory = deployment.directory.path,
-                          .starts_at_once = false});
+    gateway_process node(deployment.waiting_node_options());
     file_that_waits settings(node.settings_path());
     node.start();
     settings.await_reader();
@@ -132,10 +109,7 @@
 Test(starting_nodes, stop_during_the_start_ends_with_success, .timeout = 60)
 {
     small_deployment deployment;
-    gateway_process node({.id = "node-1",
-                          .store_port = deployment.store.port(),
-                          .directory = deployment.directory.path,
-                          .starts_at_once = false});
+    gateway_process node(deployment.waiting_node_options());
     file_that_waits settings(node.settings_path());
     node.start();
     settings.await_reader();
@@ -150,10 +124,7 @@
 {
     for (const bool is_internal : {false, true}) {
         small_deployment deployment;
-        gateway_process node({.id = "node-1",
-                              .store_port = deployment.store.port(),
-                              .directory = deployment.directory.path,
-                              .starts_at_once = false});
+        gateway_process node(deployment.waiting_node_options());
         {
             const connection_from_port other(is_internal ? node.internal_port() : node.requester_port(),
                                              deployment.store.port());
@@ -170,10 +141,7 @@
 Test(starting_nodes, node_that_waits_for_a_port_stops, .timeout = 60)
 {
     small_deployment deployment;
-    gateway_process node({.id = "node-1",
-                          .store_port = deployment.store.port(),
-                          .directory = deployment.directory.path,
-                          .starts_at_once = false});
+    gateway_process node(deployment.waiting_node_options());
     const connection_from_port other(node.requester_port(), deployment.store.port());
     cr_assert(other.is_open);
     node.start();
@@ -187,10 +155,7 @@
 Test(starting_nodes, settings_that_are_being_written_delay_the_start, .timeout = 60)
 {
     small_deployment deployment;
-    gateway_process node({.id = "node-1",
-                          .store_port = deployment.store.port(),
-                          .directory = deployment.directory.path,
-                          .starts_at_once = false});
+    gateway_process node(deployment.waiting_node_options());
     std::ifstream written(node.settings_path());
     const std::string text{std::istreambuf_iterator<char>(written), {}};
     std::ofstream(node.settings_path()) << text.substr(0, text.size() / 2);
@@ -206,10 +171,9 @@
 {
     small_deployment deployment;
     for (const int limit : {8, 9, 10}) {
-        gateway_process node({.id = "node-" + std::to_string(limit),
-                              .store_port = deployment.store.port(),
-                              .directory = deployment.directory.path,
-                              .first_descriptors = limit});
+        gateway_process_options options = deployment.node_options("node-" + std::to_string(limit));
+        options.first_descriptors = limit;
+        gateway_process node(options);
         cr_expect_not(node.wait_ready(500ms), "%d: ready without its ports", limit);
         cr_assert(node.is_running(), "%s", node.describe_end().c_str());
         cr_expect(node.wait_log("event=descriptors_used_up", 2s), "%s", node.describe_end().c_str());
@@ -223,10 +187,9 @@
 {
     small_deployment deployment;
     for (const int limit : {4, 7}) {
-        gateway_process node({.id = "node-" + std::to_string(limit),
-                              .store_port = deployment.store.port(),
-                              .directory = deployment.directory.path,
-                              .first_descriptors = limit});
+        gateway_process_options options = deployment.node_options("node-" + std::to_string(limit));
+        options.first_descriptors = limit;
+        gateway_process node(options);
         cr_expect(node.wait_log("event=node_not_constructed", 2s), "%s", node.describe_end().c_str());
         cr_assert(node.is_running(), "%s", node.describe_end().c_str());
         cr_expect(node.limit_descriptors(100));
@@ -239,10 +202,9 @@
 {
     small_deployment deployment;
     for (const int limit : {4, 7, 10}) {
-        gateway_process node({.id = "node-" + std::to_string(limit),
-                              .store_port = deployment.store.port(),
-                              .directory = deployment.directory.path,
-                              .first_descriptors = limit});
+        gateway_process_options options = deployment.node_options("node-" + std::to_string(limit));
+        options.first_descriptors = limit;
+        gateway_process node(options);
         std::this_thread::sleep_for(1s);
         node.signal(SIGTERM);
         cr_expect(node.wait_end(8s));
--- a/tests/processes/stopping_helper_test.cpp
+++ b/tests/processes/stopping_helper_test.cpp
@@ -1,4 +1,4 @@
-#include "processes/gateway_process.h"
+#include "processes/small_deployment.h"
 
 #include <criterion/criterion.h>
 #include <csignal>
@@ -14,8 +14,7 @@
 bool serve_late(stage::channel& to, stage::request& received)
 {
     std::this_thread::sleep_for(4s);
-    to.write(stage::head_of_success(received, "text/plain") + "Content-Length: 4\r\n\r\nopen");
-    return true;
+    return serve_text(to, received);
 }
 
 } // namespace
@@ -24,18 +23,16 @@
 // much time for them as for its own.
 Test(stopping_helper, response_through_a_tunnel_is_finished_before_the_node_ends, .timeout = 60)
 {
-    const temporary_directory directory;
-    stage::record notes(directory.path + "/record.txt");
-    stage::store store(notes);
-    store.set("config", "main", stage::small_configuration());
-    stage::engine upstream(store, notes, {.id = "desk-1", .service = "desk"}, serve_late);
+    small_deployment deployment;
+    stage::engine upstream(deployment.store, deployment.notes, {.id = "desk-1", .service = "desk"},
+                           serve_late);
     {
-        gateway_process node({.id = "node-1", .store_port = store.port(), .directory = directory.path});
+        gateway_process node(deployment.node_options());
         cr_assert(node.wait_ready(15s), "%s", node.describe_end().c_str());
         std::string token;
         for (int count = 0; count < 100 && token.empty(); ++count) {
             std::this_thread::sleep_for(50ms);
-            token = store.get("members", "node-1")["spec"]["token"].asString();
+            token = deployment.store.get("members", "node-1")["spec"]["token"].asString();
         }
         cr_assert_not(token.empty(), "the node did not register itself");
         const auto tunnel = stage::channel::connect(node.internal_port());
@@ -56,5 +53,4 @@
         cr_expect(node.has_succeeded(), "%s", node.describe_end().c_str());
     }
     upstream.stop();
-    store.stop();
 }
