--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -10,6 +10,7 @@
 #include "gateway/http/internal_server.h"
 #include "gateway/http/peer_client.h"
 #include "gateway/process/internal_endpoints.h"
+#include "gateway/process/port_opener.h"
 #include "gateway/process/settings_watch.h"
 #include "gateway/quarantine/quarantine_book.h"
 #include "gateway/relay/relay_client.h"
@@ -49,9 +50,6 @@
 // Before that, the last answers are written to the requesters.
 constexpr milliseconds answer_margin{200};
 constexpr milliseconds registration_retry{500};
-// Pause before a port that another program holds is tried again, and between two log lines about it.
-constexpr milliseconds port_retry_delay{50};
-constexpr milliseconds port_report_interval{1000};
 // Time in which a ledger writer brings new deposits into the ledgers before the next one looks.
 constexpr milliseconds writer_interval{150};
 // Part of the memory that incomplete responses may take. A text that grows is copied, which takes three times
@@ -138,7 +136,7 @@
     {
         this->await_signal();
         core::release_signals();
-        this->open_ports();
+        this->ports.open();
         while (!core::run_guarded("traffic", [this] { this->io.run(); })) {
         }
         this->stop_control();
@@ -148,41 +146,20 @@
     }
 
 private:
-    /** Opens the ports and starts to serve. Another program may hold one of them for a moment, as the end of
-     * a connection, or all descriptors may be in use, so tries again until all are open. */
-    void open_ports()
-    {
-        // Requesters connect last; until then probes say that the node is not ready.
-        core::result<void> listening = this->probes.start();
-        if (listening) {
-            listening = this->internal.start();
-        }
-        if (listening) {
-            listening = this->front.start();
-        }
-        if (listening) {
-            this->start_serving();
-            return;
-        }
-        const bool is_used_up = listening.error().code == core::error_code::overloaded;
-        if (listening.error().code != core::error_code::conflict && !is_used_up) {
-            this->run_outcome = listening;
-            this->io.stop();
-            return;
-        }
-        const core::steady_time now = clock::now();
-        if (now >= this->next_port_report) {
-            this->next_port_report = now + port_report_interval;
-            core::log_event(core::log_level::warning, is_used_up ? "descriptors_used_up" : "port_taken",
-                            {{"reason", listening.error().message}});
-            core::flush_buffered_log();
-        }
-        this->port_timer.expires_after(port_retry_delay);
-        this->port_timer.async_wait([this](boost::system::error_code failure) {
-            if (!failure) {
-                this->open_ports();
-            }
-        });
+    port_opener_options port_options()
+    {
+        return port_opener_options{
+            // Requesters connect last; until then probes say that the node is not ready.
+            .ports = {[this] { return this->probes.start(); }, [this] { return this->internal.start(); },
+                      [this] {
+                          return this->front.start();
+                      }},
+            .on_open = [this] { this->start_serving(); },
+            .on_failure =
+                [this](const core::error& cause) {
+                    this->run_outcome = tl::unexpected(cause);
+                    this->io.stop();
+                }};
     }
 
     void start_serving()
@@ -535,7 +512,7 @@
             return;
         }
         if (!this->is_serving) {
-            core::log_event(core::log_level::info, "stopped", {{"reason", "a port was not free yet"}});
+            core::log_event(core::log_level::info, "stopped", {{"reason", "not all ports were open yet"}});
             this->io.stop();
             return;
         }
@@ -666,13 +643,12 @@
     tunnel_server tunnels;
     internal_server internal;
     asio::signal_set signals;
-    asio::steady_timer port_timer{this->io};
+    port_opener ports{this->io, this->port_options()};
     asio::steady_timer sweep_timer;
     asio::steady_timer waiter_timer;
     asio::steady_timer rollout_timer;
     asio::steady_timer drain_timer;
     core::steady_time exit_at;
-    core::steady_time next_port_report;
     core::result<void> run_outcome;
     bool is_serving = false;
     bool is_supply_draining = false;
