Test brittle upstreams in a large fleet, and the use of their slots

The check that goes with the refusals of smaller fleets keeps its 0.5, so that it cannot be met by sending nothing.

upstream_reach_test: one function for the three failures.

--- a/tests/gateway/failures/brittle_upstreams_test.cpp
+++ b/tests/gateway/failures/brittle_upstreams_test.cpp
@@ -234,6 +234,49 @@
     core::steady_time measured_since = start;
 };
 
+/** A fleet under 2.5 times the load that the upstreams can serve, and the room that is left to them. */
+struct shrinking_room {
+    std::size_t nodes = 0;
+    double refusals = 0; ///< That an upstream stands in a second.
+    std::size_t room = 0;
+    std::uint32_t seed = 0;
+};
+
+std::string describe(const shrinking_room& given)
+{
+    return std::to_string(given.nodes) + " nodes, stands " + std::to_string(std::lround(given.refusals)) +
+           "/s, room " + std::to_string(given.room) + ", seed " + std::to_string(given.seed);
+}
+
+std::vector<shrinking_room> small_fleets()
+{
+    std::vector<shrinking_room> result;
+    for (const std::size_t nodes : {2, 8, 30}) {
+        for (const double refusals : {3.0, 10.0, 30.0}) {
+            for (const std::size_t room : {0, 4}) {
+                for (std::uint32_t seed = 1; seed <= 3; ++seed) {
+                    result.push_back({.nodes = nodes, .refusals = refusals, .room = room, .seed = seed});
+                }
+            }
+        }
+    }
+    return result;
+}
+
+/** Plays 30 s after the room has shrunk. */
+std::unique_ptr<brittle_fleet> play(const shrinking_room& given)
+{
+    constexpr double load = 2.5;
+    auto fleet = std::make_unique<brittle_fleet>(given.nodes, given.refusals, given.seed);
+    fleet->run(10s, load);
+    fleet->is_brittle = true;
+    fleet->run(contact, load);
+    fleet->room = given.room;
+    fleet->forget_counts();
+    fleet->run(30s, load);
+    return fleet;
+}
+
 /** Options of the only node, whose clock a test sets. */
 gateway::brittle_upstream_options one_node(const core::steady_time& now)
 {
@@ -260,29 +303,38 @@
 // Guards against nodes that together overthrow a brittle upstream whose room for waiting shrinks.
 Test(brittle_upstreams, fleet_causes_few_refusals_when_room_shrinks)
 {
-    for (const std::size_t nodes : {2, 8, 30}) {
-        for (const double refusals : {3.0, 10.0, 30.0}) {
-            for (const std::size_t room : {0, 4}) {
-                for (std::uint32_t seed = 1; seed <= 3; ++seed) {
-                    brittle_fleet fleet(nodes, refusals, seed);
-                    fleet.run(10s, 2.5);
-                    fleet.is_brittle = true;
-                    fleet.run(contact, 2.5);
-                    fleet.room = room;
-                    fleet.forget_counts();
-                    fleet.run(30s, 2.5);
-                    cr_expect_leq(static_cast<double>(fleet.most_refusals), refusals,
-                                  "%zu nodes, stands %.0f/s, room %zu, seed %u: %zu refused in a second",
-                                  nodes, refusals, room, seed, fleet.most_refusals);
-                    cr_expect_geq(fleet.used_share(), least_used_share,
-                                  "%zu nodes, stands %.0f/s, room %zu, seed %u: %.3f used", nodes, refusals,
-                                  room, seed, fleet.used_share());
-                }
-            }
+    for (const shrinking_room& given : small_fleets()) {
+        const auto fleet = play(given);
+        cr_expect_leq(static_cast<double>(fleet->most_refusals), given.refusals,
+                      "%s: %zu refused in a second", describe(given).c_str(), fleet->most_refusals);
+        cr_expect_geq(fleet->used_share(), least_used_share, "%s: %.3f used", describe(given).c_str(),
+                      fleet->used_share());
+    }
+}
+
+// Guards against the same in a large fleet, whose nodes each hear little from an upstream.
+Test(brittle_upstreams, large_fleet_causes_few_refusals_when_room_shrinks)
+{
+    for (const std::size_t room : {0, 4}) {
+        for (std::uint32_t seed = 1; seed <= 10; ++seed) {
+            const shrinking_room given{.nodes = 90, .refusals = 3, .room = room, .seed = seed};
+            const auto fleet = play(given);
+            cr_expect_leq(static_cast<double>(fleet->most_refusals), given.refusals,
+                          "%s: %zu refused in a second", describe(given).c_str(), fleet->most_refusals);
         }
     }
 }
 
+// Guards against upstreams that stand idle while requests for them are refused.
+Test(brittle_upstreams, most_slots_are_used_when_room_shrinks)
+{
+    constexpr double most = 0.8;
+    for (const shrinking_room& given : small_fleets()) {
+        const double used = play(given)->used_share();
+        cr_expect_geq(used, most, "%s: %.3f used", describe(given).c_str(), used);
+    }
+}
+
 // Guards against upstreams that are spared after they have ended to say that they are brittle.
 Test(brittle_upstreams, fleet_sends_as_before_after_the_end)
 {
--- a/tests/gateway/tunnel/upstream_reach_test.cpp
+++ b/tests/gateway/tunnel/upstream_reach_test.cpp
@@ -24,6 +24,14 @@
                                    }}}};
 };
 
+/** Records failures of as many upstreams as it takes to doubt the links. */
+void fail_three(gateway::upstream_reach& reach)
+{
+    for (std::uint16_t number = 1; number <= 3; ++number) {
+        reach.record_failure(upstream(number));
+    }
+}
+
 } // namespace
 
 // Guards against a node that counts as cut off since one upstream has crashed.
@@ -64,9 +72,7 @@
 Test(upstream_reach, failures_of_several_upstreams_are_a_cut_if_another_node_reaches_them)
 {
     observed_reach many;
-    for (std::uint16_t number = 1; number <= 3; ++number) {
-        many.reach.record_failure(upstream(number));
-    }
+    fail_three(many.reach);
     cr_expect_eq(many.doubts, 1);
     many.reach.confirm_doubt();
     cr_expect(many.reach.state() == gateway::reach_state::cut_off);
@@ -82,15 +88,11 @@
 Test(upstream_reach, doubt_without_confirmation_is_no_cut)
 {
     observed_reach observed;
-    for (std::uint16_t number = 1; number <= 3; ++number) {
-        observed.reach.record_failure(upstream(number));
-    }
+    fail_three(observed.reach);
     observed.reach.record_success();
     observed.reach.confirm_doubt();
     cr_expect(observed.reach.state() == gateway::reach_state::connected);
-    for (std::uint16_t number = 1; number <= 3; ++number) {
-        observed.reach.record_failure(upstream(number));
-    }
+    fail_three(observed.reach);
     observed.reach.dismiss_doubt();
     observed.reach.confirm_doubt();
     cr_expect(observed.reach.state() == gateway::reach_state::connected);
@@ -100,9 +102,7 @@
 Test(upstream_reach, returns_after_two_successes_in_a_row)
 {
     observed_reach observed;
-    for (std::uint16_t number = 1; number <= 3; ++number) {
-        observed.reach.record_failure(upstream(number));
-    }
+    fail_three(observed.reach);
     observed.reach.confirm_doubt();
     observed.reach.record_success();
     observed.reach.record_failure(upstream(1));
