Ask the nodes of all zones whether this one is cut off

Cause: to confirm a doubt a node drew only nodes of its own zone while two of them were left. In a zone of 17 all answer that they cannot connect either, and within the second of the doubt none of another zone was asked.

Change: two nodes of the own zone and two of the others are asked at a time.

--- a/modules/gateway/tunnel/tunnel_client.cpp
+++ b/modules/gateway/tunnel/tunnel_client.cpp
@@ -18,7 +18,8 @@
 constexpr milliseconds attempt_timeout{300};
 // With several helpers one that is cut off or stops costs little, and the load is spread.
 constexpr std::size_t wanted_helpers = 4;
-constexpr std::size_t attempts_at_once = 4;
+// In this node's zone, and as many in the others: a whole zone may be cut off, whatever its size.
+constexpr std::size_t attempts_at_once = 2;
 // With fewer helpers of this node's zone those of the others are used as well.
 constexpr std::size_t enough_near_helpers = 2;
 // Time in which another node may show that this one is cut off; long enough to ask the nodes of several
@@ -59,14 +60,18 @@
 
 std::optional<member> tunnel_client::choose()
 {
-    std::vector<member> known = this->candidates(true);
-    if (known.empty()) {
+    nodes_by_zone known = this->candidates(true);
+    if (known.near.size() < enough_near_helpers) {
+        known.near.insert(known.near.end(), known.far.begin(), known.far.end());
+    }
+    if (known.near.empty()) {
         known = this->candidates(false);
+        known.near.insert(known.near.end(), known.far.begin(), known.far.end());
     }
-    if (known.empty()) {
+    if (known.near.empty()) {
         return std::nullopt;
     }
-    return known[std::uniform_int_distribution<std::size_t>(0, known.size() - 1)(this->random)];
+    return known.near[std::uniform_int_distribution<std::size_t>(0, known.near.size() - 1)(this->random)];
 }
 
 void tunnel_client::record_own(const tcp::endpoint& upstream, bool is_connected)
@@ -98,13 +103,12 @@
     state = {.skipped_until = now + failed_helper_pause};
 }
 
-std::vector<member> tunnel_client::candidates(bool is_proven)
+tunnel_client::nodes_by_zone tunnel_client::candidates(bool is_proven)
 {
-    std::vector<member> near;
-    std::vector<member> far;
+    nodes_by_zone result;
     const std::shared_ptr<const member_list> list = this->options.members();
     if (list == nullptr) {
-        return near;
+        return result;
     }
     const core::steady_time now = this->options.time.steady();
     for (const member& node : list->members) {
@@ -112,12 +116,10 @@
         if (node.id == this->options.node || state.is_proven != is_proven || now < state.skipped_until) {
             continue;
         }
-        (node.availability_zone == this->options.availability_zone ? near : far).push_back(node);
-    }
-    if (near.size() < enough_near_helpers) {
-        near.insert(near.end(), far.begin(), far.end());
+        (node.availability_zone == this->options.availability_zone ? result.near : result.far)
+            .push_back(node);
     }
-    return near;
+    return result;
 }
 
 std::vector<std::shared_ptr<const upstream>> tunnel_client::registered_upstreams() const
@@ -171,7 +173,7 @@
         return;
     }
     const std::set<tcp::endpoint>& failed = this->reach.failed_upstreams();
-    for (const member& node : this->draw_untried(attempts_at_once)) {
+    for (const member& node : this->draw_untried()) {
         if (failed.empty()) {
             return;
         }
@@ -188,7 +190,7 @@
     if (static_cast<std::size_t>(proven) >= wanted_helpers) {
         return;
     }
-    for (const member& node : this->draw_untried(attempts_at_once)) {
+    for (const member& node : this->draw_untried()) {
         const std::optional<tcp::endpoint> upstream = this->draw_upstream();
         if (upstream) {
             this->try_tunnel(node, *upstream);
@@ -196,13 +198,17 @@
     }
 }
 
-std::vector<member> tunnel_client::draw_untried(std::size_t count)
+std::vector<member> tunnel_client::draw_untried()
 {
-    std::vector<member> untried = this->candidates(false);
-    std::erase_if(untried, [this](const member& node) { return this->helpers[node.id].is_tried; });
-    std::shuffle(untried.begin(), untried.end(), this->random);
-    untried.resize(std::min(untried.size(), count));
-    return untried;
+    nodes_by_zone untried = this->candidates(false);
+    std::vector<member> drawn;
+    for (std::vector<member>* const nodes : {&untried.near, &untried.far}) {
+        std::erase_if(*nodes, [this](const member& node) { return this->helpers[node.id].is_tried; });
+        std::shuffle(nodes->begin(), nodes->end(), this->random);
+        nodes->resize(std::min(nodes->size(), attempts_at_once));
+        drawn.insert(drawn.end(), nodes->begin(), nodes->end());
+    }
+    return drawn;
 }
 
 void tunnel_client::try_tunnel(const member& helper, const tcp::endpoint& upstream)
--- a/modules/gateway/tunnel/tunnel_client.h
+++ b/modules/gateway/tunnel/tunnel_client.h
@@ -64,13 +64,18 @@
         core::steady_time skipped_until;
     };
 
+    struct nodes_by_zone {
+        std::vector<member> near; ///< In this node's zone.
+        std::vector<member> far;
+    };
+
     void search();
     void try_to_confirm();
     void try_helpers();
     void try_tunnel(const member& helper, const boost::asio::ip::tcp::endpoint& upstream);
-    std::vector<member> draw_untried(std::size_t count);
+    std::vector<member> draw_untried();
     void try_own_link();
-    std::vector<member> candidates(bool is_proven);
+    nodes_by_zone candidates(bool is_proven);
     upstream_reach_options reach_options();
     std::vector<std::shared_ptr<const upstream>> registered_upstreams() const;
     std::optional<boost::asio::ip::tcp::endpoint> draw_upstream();
--- a/tests/gateway/tunnel/tunnel_test.cpp
+++ b/tests/gateway/tunnel/tunnel_test.cpp
@@ -4,6 +4,7 @@
 #include "gateway/tunnel/tunnel_client.h"
 #include "gateway/tunnel/tunnel_server.h"
 
+#include <boost/asio/write.hpp>
 #include <criterion/criterion.h>
 #include <memory>
 #include <optional>
@@ -51,7 +52,8 @@
         this->add_member("helper", this->helper_port, "secret");
     }
 
-    void add_member(const std::string& id, std::uint16_t port, const std::string& token)
+    void add_member(const std::string& id, std::uint16_t port, const std::string& token,
+                    const std::string& availability_zone = "here")
     {
         auto next = std::make_shared<gateway::member_list>(*this->members);
         next->members.push_back({.id = id,
@@ -59,7 +61,7 @@
                                  .port = port,
                                  .token = token,
                                  .process = id,
-                                 .availability_zone = "here"});
+                                 .availability_zone = availability_zone});
         this->members = std::move(next);
     }
 
@@ -253,6 +255,31 @@
     cr_expect(nodes.client.is_needed());
 }
 
+// Guards against a cut of a whole large zone that is not noticed, since only its own nodes are asked, all of
+// which are cut off and do not know it yet.
+Test(tunnel, cut_of_a_large_zone_is_confirmed_by_another_zone)
+{
+    two_nodes nodes([](const received_request&) { return upstream_reply{.parts = {whole}}; });
+    const std::uint16_t port = two_nodes::free_port(nodes.io);
+    gateway::internal_server cut_nodes(
+        nodes.io, {boost::asio::ip::address_v4::loopback(), port},
+        [](const gateway::request_message&, const auto& answer) { answer({}); },
+        [](const gateway::request_message&, tcp::socket connection) {
+            boost::asio::write(
+                connection, boost::asio::buffer(std::string("HTTP/1.1 502 X\r\nContent-Length: 0\r\n\r\n")));
+        });
+    cr_assert(cut_nodes.start().has_value());
+    nodes.members = std::make_shared<gateway::member_list>();
+    for (int count = 0; count < 40; ++count) {
+        nodes.add_member("near-" + std::to_string(count), port, "secret");
+    }
+    nodes.add_member("helper", nodes.helper_port, "secret", "there");
+    nodes.cut_off();
+    const two_nodes::outcome seen = nodes.send();
+    cr_expect(seen.result == gateway::upstream_result::complete);
+    cr_expect(seen.connection->is_tunnelled());
+}
+
 // Guards against a stream that breaks off in a tunnel since its requester reads slowly.
 Test(tunnel, slow_reader_gets_the_whole_response, .timeout = 60)
 {
