Log who sent an upstream's entry, its revision, and lists that are ignored

Cause: the logs of the incident could not tell whether a node had not been told of a leaving, had been told late, or had dropped what it was told. upstream_known had neither sender nor revision, and a list below the held revision left no line. Change: both are logged; the process of the upstream (started_at_ms) as well. No logic is changed.

--- a/modules/gateway/control/fleet_view.cpp
+++ b/modules/gateway/control/fleet_view.cpp
@@ -194,6 +194,7 @@
 void fleet_view::accept(feed_kind kind, const followed_batch& received)
 {
     if (!this->feeds[kind].accept(received)) {
+        this->log_ignored(kind, received);
         return;
     }
     {
@@ -208,6 +209,19 @@
     }
 }
 
+void fleet_view::log_ignored(feed_kind kind, const followed_batch& received) const
+{
+    const platform::object_version held = this->feeds[kind].revision().value_or(0);
+    if (!received.is_full_list || received.batch.revision >= held) {
+        return; // Late and repeated changes are usual.
+    }
+    core::log_event(core::log_level::warning, "list_ignored",
+                    {{"kind", to_string(kind)},
+                     {"source", received.source},
+                     {"revision", static_cast<long long>(received.batch.revision)},
+                     {"held", static_cast<long long>(held)}});
+}
+
 void fleet_view::apply(feed_kind kind, const followed_batch& received)
 {
     switch (kind) {
--- a/modules/gateway/control/fleet_view.h
+++ b/modules/gateway/control/fleet_view.h
@@ -87,6 +87,7 @@
     void on_store_batch(feed_kind kind, followed_batch received);
     void on_store_failure(feed_kind kind, const core::error& failure);
     void accept(feed_kind kind, const followed_batch& received);
+    void log_ignored(feed_kind kind, const followed_batch& received) const;
     void apply(feed_kind kind, const followed_batch& received);
     void choose_sources();
     void update_connection();
--- a/modules/gateway/control/upstream_tracker.cpp
+++ b/modules/gateway/control/upstream_tracker.cpp
@@ -41,7 +41,7 @@
         }
         has_changed = this->unusable.erase(id) > 0 || has_changed;
         seen.insert(id);
-        has_changed = this->set(std::move(*entry)) || has_changed;
+        has_changed = this->set(std::move(*entry), received) || has_changed;
     }
     if (received.is_full_list) {
         std::vector<std::string> missing;
@@ -110,7 +110,7 @@
     return result;
 }
 
-bool upstream_tracker::set(upstream entry)
+bool upstream_tracker::set(upstream entry, const followed_batch& received)
 {
     tracked& known = this->entries[entry.id];
     known.missing_until.reset();
@@ -122,7 +122,10 @@
                      {"service", entry.service},
                      {"address", entry.address},
                      {"version", entry.version},
-                     {"draining", entry.is_draining ? "true" : "false"}});
+                     {"draining", entry.is_draining ? "true" : "false"},
+                     {"started_at_ms", static_cast<long long>(entry.started_at_ms)},
+                     {"source", received.source},
+                     {"revision", static_cast<long long>(received.batch.revision)}});
     known.entry = std::make_shared<const upstream>(std::move(entry));
     return true;
 }
--- a/modules/gateway/control/upstream_tracker.h
+++ b/modules/gateway/control/upstream_tracker.h
@@ -52,7 +52,7 @@
         std::optional<core::steady_time> missing_until; ///< End of the hold time of a missing entry.
     };
 
-    bool set(upstream entry);
+    bool set(upstream entry, const followed_batch& received);
     bool set_unusable(const std::string& id, const std::string& reason);
     void hold_removals(core::steady_time connected_since);
     bool remove(const std::string& id, core::steady_time now);
