--- a/tests/processes/gateway_process.cpp
+++ b/tests/processes/gateway_process.cpp
@@ -101,8 +101,12 @@
         << this->options.memory_mb << "},\n\"listen\": {\"requesters\": " << loopback_address(this->front)
         << ", \"probes\": " << loopback_address(this->probes)
         << ", \"internal\": " << loopback_address(this->internal)
-        << "},\n\"object_api\": {\"address\": " << loopback_address(this->options.store_port)
-        << "},\n\"rollouts\": {\"exposure_share\": 0.1, \"exposure_slack\": 54},\n"
+        << "},\n\"object_api\": {\"address\": " << loopback_address(this->options.store_port) << "},\n"
+        << (this->options.relay_minimum_nodes == 0
+                ? ""
+                : "\"relays\": {\"minimum_nodes\": " + std::to_string(this->options.relay_minimum_nodes) +
+                      "},\n")
+        << "\"rollouts\": {\"exposure_share\": 0.1, \"exposure_slack\": 54},\n"
         << "\"stop\": {\"grace_ms\": 8000}}\n";
 }
 
@@ -129,8 +133,9 @@
             limit.rlim_cur = static_cast<rlim_t>(this->options.first_descriptors);
             ::setrlimit(RLIMIT_NOFILE, &limit);
         }
-        ::execl(SAMPHIREWAY_PROGRAM, SAMPHIREWAY_PROGRAM, "gateway", "--settings-variable",
-                "SAMPHIREWAY_TEST_SETTINGS", nullptr);
+        const char* const program =
+            this->options.program.empty() ? SAMPHIREWAY_PROGRAM : this->options.program.c_str();
+        ::execl(program, program, "gateway", "--settings-variable", "SAMPHIREWAY_TEST_SETTINGS", nullptr);
         ::_exit(127);
     }
     this->process = child;
--- a/tests/processes/gateway_process.h
+++ b/tests/processes/gateway_process.h
@@ -29,6 +29,8 @@
     int maximum_descriptors = 0; ///< Soft and hard limit of the process; 0 leaves the inherited one.
     int first_descriptors = 0;   ///< Soft limit alone, which `limit_descriptors` can raise; 0 leaves it.
     bool starts_at_once = true;
+    int relay_minimum_nodes = 0; ///< Smallest fleet with relays; 0 leaves the default.
+    std::string program;         ///< Path of another build; empty for the one under test.
 };
 
 /** `samphireway gateway` as a process of its own on loopback addresses; killed with the object. */
