Close holders that have spent more than their ledger knows as granted

Cause: a holder's outstanding amount is negative when the ledger has lost grants whose use it has kept (a store that came back from a copy). close_holder refused it, so the entry stayed and each writer tried again; and the negative amount counted as available, so the same tokens could be granted once more. Class: an invariant of one writer is taken for one of the store. Change: what is in doubt is never negative, in sums and when a holder is closed or ends; the use stays counted in full, nothing is written off. The overspending is logged once, when the holder is closed (lost_grants_spent).

--- a/modules/admin/budgets/budget_accounts.cpp
+++ b/modules/admin/budgets/budget_accounts.cpp
@@ -185,7 +185,7 @@
     return this->update_account(
         plan, false, [&](escrow::ledger&, escrow::account& account) -> core::result<bool> {
             const auto entry = account.holders.find(holder);
-            const escrow::amount all = entry == account.holders.end() ? 0 : entry->second.outstanding();
+            const escrow::amount all = entry == account.holders.end() ? 0 : entry->second.in_doubt();
             const bool is_repeated = account.closures.contains(holder);
             const core::result<escrow::closure> closed =
                 escrow::close_holder(account, holder, charged.value_or(all), now_ms);
--- a/modules/escrow/ledger/account_changes.cpp
+++ b/modules/escrow/ledger/account_changes.cpp
@@ -77,7 +77,7 @@
     const amount available = target.is_removed ? 0 : std::max<amount>(0, target.available());
     entry.granted += std::min(update.draw, available);
     const holder_entry result = entry;
-    if (update.is_final && entry.outstanding() == 0) {
+    if (update.is_final && entry.in_doubt() == 0) {
         target.closed_spent += entry.spent;
         target.holders.erase(holder);
     }
@@ -95,7 +95,7 @@
     if (found == target.holders.end()) {
         return core::failure(core::error_code::not_found, "no entry of holder " + holder);
     }
-    const amount in_doubt = found->second.outstanding();
+    const amount in_doubt = found->second.in_doubt();
     if (charged < 0 || charged > in_doubt) {
         return core::failure(core::error_code::invalid_argument,
                              "charged: expected 0 to " + std::to_string(in_doubt));
@@ -135,7 +135,7 @@
     std::erase_if(target.holders, [&](const auto& entry) {
         // A live holder whose empty entry was folded learns this from its next write and starts a new
         // entry.
-        const bool is_empty = entry.second.outstanding() == 0 && entry.second.written_at_ms < oldest_kept;
+        const bool is_empty = entry.second.in_doubt() == 0 && entry.second.written_at_ms < oldest_kept;
         target.closed_spent += is_empty ? entry.second.spent : 0;
         return is_empty;
     });
--- a/modules/escrow/ledger/ledger.cpp
+++ b/modules/escrow/ledger/ledger.cpp
@@ -196,7 +196,8 @@
 {
     amount sum = 0;
     for (const auto& [id, entry] : this->holders) {
-        sum += entry.outstanding();
+        // What one holder has overspent is nobody's to spend again.
+        sum += entry.in_doubt();
     }
     return sum;
 }
--- a/modules/escrow/ledger/ledger.h
+++ b/modules/escrow/ledger/ledger.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <json/json.h>
 #include <map>
@@ -30,11 +31,24 @@
     std::int64_t written_at_ms = 0; ///< Wall time of the holder's last write, for operators only.
     bool is_closed = false;         ///< Not stored: the account has no such entry any more.
 
-    /** Returns the amount that the holder may still spend. */
+    /** Returns the amount that the holder may still spend. Negative if the ledger has lost a grant that was
+     * spent, as after a restore of the object API from a backup. */
     amount outstanding() const noexcept
     {
         return this->granted - this->spent - this->returned;
     }
+
+    /** Returns the amount that is lost if the holder is gone. */
+    amount in_doubt() const noexcept
+    {
+        return std::max<amount>(0, this->outstanding());
+    }
+
+    /** Returns the amount that was spent from grants which the ledger has lost. */
+    amount overspent() const noexcept
+    {
+        return std::max<amount>(0, -this->outstanding());
+    }
 };
 
 /**
--- a/modules/gateway/control/prepaid_deposits.cpp
+++ b/modules/gateway/control/prepaid_deposits.cpp
@@ -29,21 +29,26 @@
 std::int64_t close_holders(escrow::account& target,
                            const std::function<bool(const std::string& id)>& is_ended, std::int64_t now_ms)
 {
-    std::vector<std::pair<std::string, escrow::amount>> ended;
+    std::vector<std::pair<std::string, escrow::holder_entry>> ended;
     for (const auto& [id, entry] : target.holders) {
         if (is_ended(id)) {
-            ended.emplace_back(id, entry.outstanding());
+            ended.emplace_back(id, entry);
         }
     }
     std::int64_t written_off = 0;
-    for (const auto& [id, outstanding] : ended) {
-        const core::result<escrow::closure> closed = escrow::close_holder(target, id, outstanding, now_ms);
+    for (const auto& [id, entry] : ended) {
+        const core::result<escrow::closure> closed =
+            escrow::close_holder(target, id, entry.in_doubt(), now_ms);
         if (!closed) {
             core::log_event(core::log_level::error, "grant_not_closed",
                             {{"holder", id}, {"reason", closed.error().message}});
             continue;
         }
-        written_off += outstanding;
+        written_off += entry.in_doubt();
+        if (entry.overspent() > 0) {
+            core::log_event(core::log_level::warning, "lost_grants_spent",
+                            {{"holder", id}, {"amount", entry.overspent()}});
+        }
     }
     return written_off;
 }
