Take over what a store says that has come back from a copy

What callers saw: requests reached upstreams that had left, for as long as the load lasted; nodes called the store some thousand times a second. Cause: revisions were compared across a restore. A list after the return names a lower revision and was dropped; the watch from the old one got 410 at once, without a pause. A watch from a revision that exists again missed what lies below it, without any sign. Class: a counter is taken for an order after its origin has changed. Change: a moment is the store's generation (Store-Era, read in platform/) and its revision. A higher generation begins with a list, whoever sends it; relays pass it on. A relay that names no generation, or an earlier one, is not followed where the store names one; a node of an earlier build is answered as before. A list without history is tried again with a pause. Nodes that the copy lacks stay known, register again, and no ended process comes back as the running one.

--- a/modules/gateway/control/fleet_view.cpp
+++ b/modules/gateway/control/fleet_view.cpp
@@ -95,7 +95,7 @@
     result.make_poll = [this] {
         relay_poll poll{.node = this->options.relays.node, .is_in_contact = this->is_in_contact()};
         for (const feed_kind kind : all_feeds) {
-            poll.known[kind] = this->feeds[kind].revision();
+            poll.known[kind] = this->feeds[kind].position();
         }
         return poll;
     };
@@ -119,11 +119,11 @@
     this->sources[kind].follower = std::make_unique<object_follower>(follower_options{
         .store = this->options.store,
         .prefix = prefix,
-        .known_revision =
+        .known_position =
             [this, kind] {
                 source_state& source = this->sources[kind];
                 const std::lock_guard lock(source.mutex);
-                return source.known_revision;
+                return source.known_position;
             },
         .holds_partial_list =
             [this, kind] {
@@ -193,6 +193,7 @@
 
 void fleet_view::accept(feed_kind kind, const followed_batch& received)
 {
+    const std::optional<platform::store_position> before = this->feeds[kind].position();
     if (!this->feeds[kind].accept(received)) {
         this->log_ignored(kind, received);
         return;
@@ -200,26 +201,50 @@
     {
         source_state& source = this->sources[kind];
         const std::lock_guard lock(source.mutex);
-        source.known_revision = this->feeds[kind].revision();
+        source.known_position = this->feeds[kind].position();
         source.holds_partial_list = this->feeds[kind].is_partial();
     }
     if (!received.batch.changed.empty() || received.is_full_list || received.is_partial_list) {
-        this->apply(kind, received);
+        if (before && before->generation != received.batch.generation) {
+            this->apply_restored(kind, *before, received);
+        }
+        else {
+            this->apply(kind, received);
+        }
         this->relay.publish(this->options.time.steady());
     }
 }
 
 void fleet_view::log_ignored(feed_kind kind, const followed_batch& received) const
 {
-    const platform::object_version held = this->feeds[kind].revision().value_or(0);
-    if (!received.is_full_list || received.batch.revision >= held) {
+    const platform::store_position held = this->feeds[kind].position().value_or(platform::store_position{});
+    if (!received.is_full_list || received.batch.position() >= held) {
         return; // Late and repeated changes are usual.
     }
     core::log_event(core::log_level::warning, "list_ignored",
                     {{"kind", to_string(kind)},
                      {"source", received.source},
+                     {"generation", static_cast<long long>(received.batch.generation)},
+                     {"revision", static_cast<long long>(received.batch.revision)},
+                     {"held_generation", static_cast<long long>(held.generation)},
+                     {"held", static_cast<long long>(held.revision)}});
+}
+
+void fleet_view::apply_restored(feed_kind kind, const platform::store_position& before,
+                                followed_batch received)
+{
+    core::log_event(core::log_level::warning, "object_api_restored",
+                    {{"kind", to_string(kind)},
+                     {"source", received.source},
+                     {"generation", static_cast<long long>(received.batch.generation)},
                      {"revision", static_cast<long long>(received.batch.revision)},
-                     {"held", static_cast<long long>(held)}});
+                     {"before_generation", static_cast<long long>(before.generation)},
+                     {"before", static_cast<long long>(before.revision)}});
+    received.is_after_restore = true;
+    this->apply(kind, received);
+    if (kind == feed_kind::members) {
+        this->options.on_restore(received);
+    }
 }
 
 void fleet_view::apply(feed_kind kind, const followed_batch& received)
--- a/modules/gateway/control/fleet_view.h
+++ b/modules/gateway/control/fleet_view.h
@@ -36,6 +36,9 @@
     std::function<void(std::function<void()>)> run_control;     ///< Runs a task on the control thread.
     std::function<void(const configuration&)> on_configuration; ///< Called on the control thread.
     std::function<void(const followed_batch&)> on_crashes;      ///< Called on the control thread.
+    /** Receives the first list of nodes after the object API was restored from a backup. Called on the
+     * control thread. */
+    std::function<void(const followed_batch& members)> on_restore;
     core::clock time = {};
 };
 
@@ -43,10 +46,13 @@
     Knows the configuration, the upstreams and the nodes as the object API holds them, and publishes them
     on the blackboard.
 
+    What the object API forgets when it is restored from a backup stays known where it cannot be undone: each
+   tracker decides that for its kind of objects, by `followed_batch::is_after_restore`.
+
     In a large fleet a few relays watch the object API and the other nodes poll these. A node whose relays
     are not current watches the object API itself until they are again. Whoever sends a batch, it is
-    applied only if it raises the revision. All state is the control thread's; each follower calls on its
-    own thread.
+    applied only if it is newer than what is known. All state is the control thread's; each follower calls on
+   its own thread.
 
     @see object_follower, relay_subscription, relay_hub
 */
@@ -77,7 +83,7 @@
         bool is_lost = false; ///< Whether the follower's last call failed.
         core::steady_time connected_since;
         std::mutex mutex;
-        std::optional<platform::object_version> known_revision; ///< Guarded by the mutex.
+        std::optional<platform::store_position> known_position; ///< Guarded by the mutex.
         bool holds_partial_list = false;                        ///< Guarded by the mutex.
     };
 
@@ -88,6 +94,7 @@
     void on_store_failure(feed_kind kind, const core::error& failure);
     void accept(feed_kind kind, const followed_batch& received);
     void log_ignored(feed_kind kind, const followed_batch& received) const;
+    void apply_restored(feed_kind kind, const platform::store_position& before, followed_batch received);
     void apply(feed_kind kind, const followed_batch& received);
     void choose_sources();
     void update_connection();
--- a/modules/gateway/control/member_tracker.cpp
+++ b/modules/gateway/control/member_tracker.cpp
@@ -71,10 +71,19 @@
     return core::failure(core::error_code::conflict, "other writers kept changing the entry of this node");
 }
 
+bool has_entry_of(const followed_batch& received, const member& entry)
+{
+    return std::any_of(received.batch.changed.begin(), received.batch.changed.end(),
+                       [&entry](const platform::object& object) {
+                           const core::result<member> known = member_from_json(object.key, object.value);
+                           return known && *known == entry;
+                       });
+}
+
 std::shared_ptr<const member_list> member_tracker::apply(const followed_batch& received)
 {
     const std::map<std::string, member> before = this->entries;
-    if (received.is_full_list) {
+    if (received.is_full_list && !received.is_after_restore) {
         this->entries.clear();
     }
     for (const platform::object& object : received.batch.changed) {
@@ -89,7 +98,9 @@
                             {{"node", id}, {"reason", entry.error().message}});
             continue;
         }
-        this->entries[id] = std::move(*entry);
+        if (!this->ended_processes.contains(entry->process)) {
+            this->entries[id] = std::move(*entry);
+        }
     }
     this->record_changes(before);
     auto list = std::make_shared<member_list>();
--- a/modules/gateway/control/member_tracker.h
+++ b/modules/gateway/control/member_tracker.h
@@ -24,6 +24,9 @@
  * `object_store`, and with `conflict` if other writers keep changing the entry. */
 core::result<void> store_member(const platform::object_store& store, const member& entry);
 
+/** Returns whether a batch holds the entry of a node's present process. */
+bool has_entry_of(const followed_batch& received, const member& entry);
+
 /** Tracks the registered nodes from a follower's batches. Control thread only. @see object_follower */
 class member_tracker {
 public:
@@ -31,7 +34,9 @@
      * ledgers. */
     explicit member_tracker(std::size_t maximum_to_use) : maximum_ledger_writers(maximum_to_use) {}
 
-    /** Applies a batch, of which a listing replaces all entries, and returns the list of nodes to publish. */
+    /** Applies a batch, of which a listing replaces all entries, and returns the list of nodes to publish.
+     * The first listing after a restore of the object API removes none, as nodes that it lacks register
+     * again, and it brings back no process that is known to have ended. */
     std::shared_ptr<const member_list> apply(const followed_batch& received);
 
 private:
--- a/modules/gateway/control/object_follower.cpp
+++ b/modules/gateway/control/object_follower.cpp
@@ -1,6 +1,7 @@
 #include "gateway/control/object_follower.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace samphireway::gateway {
 
@@ -67,10 +68,12 @@
     const follower_pace pace = this->options.pace();
     core::result<followed_batch> next = this->read_next(pace);
     if (next) {
+        const bool is_list = next->is_full_list || next->is_partial_list;
         this->must_list = false;
         this->must_confirm = false;
-        this->next_retry_delay = this->options.initial_retry_delay;
-        this->received_revision = next->batch.revision;
+        this->may_list_at_once = this->may_list_at_once || !is_list;
+        this->next_retry_delay = is_list ? this->next_retry_delay : this->options.initial_retry_delay;
+        this->received_position = next->batch.position();
         const bool has_changes = !next->batch.changed.empty();
         this->options.on_batch(std::move(*next));
         if (has_changes) {
@@ -84,9 +87,23 @@
     this->must_confirm = true;
     this->options.on_failure(next.error());
     if (next.error().code == core::error_code::history_gone) {
-        this->must_list = true;
+        this->prepare_list(pace);
         return;
     }
+    this->wait_before_retry(pace);
+}
+
+void object_follower::prepare_list(const follower_pace& pace)
+{
+    this->must_list = true;
+    // A store whose lists name revisions that it does not keep must not be called without a pause.
+    if (!std::exchange(this->may_list_at_once, false)) {
+        this->wait_before_retry(pace);
+    }
+}
+
+void object_follower::wait_before_retry(const follower_pace& pace)
+{
     this->pause(std::min(this->next_retry_delay, pace.maximum_retry_delay));
     this->next_retry_delay = std::min(this->next_retry_delay * 2, pace.maximum_retry_delay);
 }
@@ -94,8 +111,8 @@
 core::result<followed_batch> object_follower::read_next(const follower_pace& pace)
 {
     // The control thread may not have applied the last batch yet.
-    const std::optional<platform::object_version> known =
-        this->must_list ? std::nullopt : std::max(this->options.known_revision(), this->received_revision);
+    const std::optional<platform::store_position> known =
+        this->must_list ? std::nullopt : std::max(this->options.known_position(), this->received_position);
     if (known && this->options.holds_partial_list() &&
         std::chrono::steady_clock::now() >= this->list_again_at) {
         return this->list_again(*known);
@@ -104,12 +121,15 @@
     // Else it would be dated by the next change, whose removals would then be held as after an outage.
     const std::chrono::milliseconds wait = this->must_confirm ? confirming_wait : pace.watch_wait;
     core::result<platform::watch_batch> batch =
-        known
-            ? this->options.store.watch(this->options.prefix, *known, std::chrono::steady_clock::now() + wait)
-            : this->options.store.list(this->options.prefix);
+        known ? this->options.store.watch(this->options.prefix, known->revision,
+                                          std::chrono::steady_clock::now() + wait)
+              : this->options.store.list(this->options.prefix);
     if (!batch) {
         return tl::unexpected(batch.error());
     }
+    if (known && batch->generation != known->generation) {
+        return core::failure(core::error_code::history_gone, "the object API was restored from a backup");
+    }
     const bool is_partial_list = !known && batch->is_partial;
     if (is_partial_list) {
         this->list_again_at = std::chrono::steady_clock::now() + partial_list_interval;
@@ -117,19 +137,24 @@
     return followed_batch{.batch = std::move(*batch),
                           .is_full_list = !known && !is_partial_list,
                           .is_partial_list = is_partial_list,
-                          .after = known.value_or(0)};
+                          .after = known ? known->revision : 0};
 }
 
-core::result<followed_batch> object_follower::list_again(platform::object_version known)
+core::result<followed_batch> object_follower::list_again(const platform::store_position& known)
 {
     this->list_again_at = std::chrono::steady_clock::now() + partial_list_interval;
     core::result<platform::watch_batch> batch = this->options.store.list(this->options.prefix);
     if (!batch) {
         return tl::unexpected(batch.error());
     }
+    if (batch->is_partial && batch->generation != known.generation) {
+        return followed_batch{.batch = std::move(*batch), .is_partial_list = true};
+    }
     if (batch->is_partial) {
         // Objects behind the unreadable part are known by their changes alone, so none may be skipped.
-        return followed_batch{.batch = {.revision = known, .changed = {}}, .after = known};
+        return followed_batch{
+            .batch = {.revision = known.revision, .changed = {}, .generation = known.generation},
+            .after = known.revision};
     }
     return followed_batch{.batch = std::move(*batch), .is_full_list = true};
 }
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -17,8 +17,11 @@
 /** Objects that were received in one answer of the object API or of a relay. @see object_follower */
 struct followed_batch {
     platform::watch_batch batch;
-    bool is_full_list = false;        ///< Whether the batch contains every existing object below the prefix.
-    bool is_partial_list = false;     ///< Whether the batch is a list that could not be read to its end.
+    bool is_full_list = false;    ///< Whether the batch contains every existing object below the prefix.
+    bool is_partial_list = false; ///< Whether the batch is a list that could not be read to its end.
+    /** Whether the batch is a list and the first batch since the object API was restored from a backup. What
+     * the list lacks may have been lost and be written again soon, and what it has may be out of date. */
+    bool is_after_restore = false;
     platform::object_version after{}; ///< Revision after which the batch contains every change.
     /** Start of the sender's uninterrupted contact with the object API. Empty if unknown. */
     std::optional<core::steady_time> connected_since = std::nullopt;
@@ -38,8 +41,8 @@
     platform::object_store store;
     std::string prefix;
     std::chrono::milliseconds initial_retry_delay{200}; ///< First delay; doubled per further failure.
-    /** Returns the revision from which to watch, or nothing if the objects must be listed. */
-    std::function<std::optional<platform::object_version>()> known_revision;
+    /** Returns the moment from which to watch, or nothing if the objects must be listed. */
+    std::function<std::optional<platform::store_position>()> known_position;
     /** Returns whether the objects known are those of a list that could not be read to its end. */
     std::function<bool()> holds_partial_list = [] {
         return false;
@@ -55,7 +58,8 @@
 
     A watch starts from the revision that the node knows, whoever it has it from. After a failed call the
     follower resumes from there. It lists the objects again when the store no longer keeps the changes
-    since that revision, and from time to time after a list that could not be read to its end.
+    since that revision or has been restored from a backup, and from time to time after a list that could not
+   be read to its end.
 */
 class object_follower {
 public:
@@ -77,7 +81,9 @@
     void run();
     void follow_once();
     core::result<followed_batch> read_next(const follower_pace& pace);
-    core::result<followed_batch> list_again(platform::object_version known);
+    core::result<followed_batch> list_again(const platform::store_position& known);
+    void prepare_list(const follower_pace& pace);
+    void wait_before_retry(const follower_pace& pace);
     void pause(std::chrono::milliseconds length);
     void await_activation();
 
@@ -85,8 +91,9 @@
     std::atomic<bool> is_stopping = false;
     std::atomic<bool> is_active = true;
     bool must_list = false;
-    bool must_confirm = true;                                  ///< Whether the next watch returns at once.
-    std::optional<platform::object_version> received_revision; ///< Revision of the last batch.
+    bool may_list_at_once = true; ///< Whether a watch has succeeded since the history was last gone.
+    bool must_confirm = true;     ///< Whether the next watch returns at once.
+    std::optional<platform::store_position> received_position; ///< Of the last batch.
     core::steady_time list_again_at; ///< Earliest time at which a partial list is tried again.
     std::chrono::milliseconds next_retry_delay;
     std::mutex mutex;
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -329,17 +329,22 @@
         return is_accepted;
     }
 
-    void register_node()
+    /** Returns this node's entry among the nodes. */
+    member make_member() const
     {
         const settings::endpoint_text& address = this->options.settings.listen.internal;
-        const member entry{.id = this->options.settings.id,
-                           .address = address.address,
-                           .port = address.port,
-                           .token = this->token,
-                           .process = this->holder,
-                           .availability_zone = this->options.settings.availability_zone,
-                           .capacity = this->options.settings.cpu_share * this->options.settings.link_mbps};
-        this->run_blocking([this, entry] {
+        return member{.id = this->options.settings.id,
+                      .address = address.address,
+                      .port = address.port,
+                      .token = this->token,
+                      .process = this->holder,
+                      .availability_zone = this->options.settings.availability_zone,
+                      .capacity = this->options.settings.cpu_share * this->options.settings.link_mbps};
+    }
+
+    void register_node()
+    {
+        this->run_blocking([this, entry = this->make_member()] {
             const core::result<void> stored = store_member(this->store, entry);
             if (!stored) {
                 core::log_event(core::log_level::warning, "node_not_registered",
@@ -368,6 +373,12 @@
             .on_configuration =
                 [this](const gateway::configuration& next) { this->deposits.totals = prepaid_amounts(next); },
             .on_crashes = [this](const followed_batch& received) { this->quarantine.apply(received); },
+            .on_restore =
+                [this](const followed_batch& members) {
+                    if (!has_entry_of(members, this->make_member())) {
+                        this->register_node();
+                    }
+                },
         };
     }
 
--- a/modules/gateway/relay/object_feed.cpp
+++ b/modules/gateway/relay/object_feed.cpp
@@ -11,13 +11,15 @@
 
 bool object_feed::accept(const followed_batch& received)
 {
-    const platform::object_version next = received.batch.revision;
+    const platform::store_position next = received.batch.position();
     const bool completes = this->holds_partial_list && received.is_full_list;
-    if (this->held_revision && (completes ? next < *this->held_revision : next <= *this->held_revision)) {
+    if (this->held && (completes ? next < *this->held : next <= *this->held)) {
         return false;
     }
     const bool is_list = received.is_full_list || received.is_partial_list;
-    const bool leaves_gap = !is_list && (!this->held_revision || received.after > *this->held_revision);
+    const platform::store_position after{.generation = next.generation, .revision = received.after};
+    const bool is_other_generation = this->held && next.generation != this->held->generation;
+    const bool leaves_gap = !is_list && (!this->held || is_other_generation || after > *this->held);
     if (leaves_gap) {
         return false;
     }
@@ -28,7 +30,7 @@
         this->apply_changes(received);
     }
     this->holds_partial_list = received.is_partial_list || (this->holds_partial_list && !completes);
-    this->held_revision = next;
+    this->held = next;
     return true;
 }
 
@@ -42,7 +44,7 @@
     }
     this->removals.clear();
     this->complete_since = received.batch.revision;
-    this->last_change = received.batch.revision;
+    this->last_changed_revision = received.batch.revision;
 }
 
 void object_feed::apply_changes(const followed_batch& received)
@@ -55,7 +57,7 @@
         else {
             this->objects[changed.key] = changed;
         }
-        this->last_change = received.batch.revision;
+        this->last_changed_revision = received.batch.revision;
     }
     while (this->removals.size() > maximum_removals) {
         this->complete_since = this->removals.front().revision;
@@ -63,23 +65,27 @@
     }
 }
 
-std::optional<followed_batch> object_feed::changes_since(std::optional<platform::object_version> known) const
+std::optional<followed_batch>
+object_feed::changes_since(const std::optional<platform::store_position>& known) const
 {
     if (!this->has_changed_since(known)) {
         return std::nullopt;
     }
-    followed_batch result{.batch = {.revision = *this->held_revision, .changed = {}},
-                          .is_full_list = !known || *known < this->complete_since,
-                          .after = known.value_or(0)};
+    const platform::store_position complete{.generation = this->held->generation,
+                                            .revision = this->complete_since};
+    followed_batch result{
+        .batch = {.revision = this->held->revision, .changed = {}, .generation = this->held->generation},
+        .is_full_list = !known || *known < complete,
+        .after = known ? known->revision : 0};
     if (!result.is_full_list) {
         for (const removal& removed : this->removals) {
-            if (removed.revision > *known && !this->objects.contains(removed.key)) {
+            if (removed.revision > known->revision && !this->objects.contains(removed.key)) {
                 result.batch.changed.push_back({.key = removed.key, .version = removed.revision});
             }
         }
     }
     for (const auto& [key, object] : this->objects) {
-        if (result.is_full_list || object.version > *known) {
+        if (result.is_full_list || object.version > known->revision) {
             result.batch.changed.push_back(object);
         }
     }
--- a/modules/gateway/relay/object_feed.h
+++ b/modules/gateway/relay/object_feed.h
@@ -16,17 +16,17 @@
 };
 
 /**
-    The objects of one kind as of one revision of the object API, from whoever sent them.
+    The objects of one kind as of one moment of the object API, from whoever sent them.
 
-    The revision never falls: a batch that is not newer, or that leaves out changes, is ignored. The
-    removals since an earlier revision are kept, so that another node can be sent only what it lacks.
-    Control thread only.
+    The moment never goes back: a batch that is not newer, or that leaves out changes, is ignored. A higher
+    generation begins with a list. The removals since an earlier revision are kept, so that another node can
+   be sent only what it lacks. Control thread only.
 
     @see relay_hub, relay_subscription
 */
 class object_feed {
 public:
-    /** Takes over a batch. Returns whether it raised the revision. */
+    /** Takes over a batch. Returns whether it is newer than what was held. */
     bool accept(const followed_batch& received);
 
     /** Returns whether objects may exist that are not known, since a list could not be read to its end. Other
@@ -36,21 +36,21 @@
         return this->holds_partial_list;
     }
 
-    /** Returns the revision of the objects, or nothing before the first batch. */
-    std::optional<platform::object_version> revision() const noexcept
+    /** Returns the moment of the objects, or nothing before the first batch. */
+    std::optional<platform::store_position> position() const noexcept
     {
-        return this->held_revision;
+        return this->held;
     }
 
-    /** Returns whether an object has changed since a revision that another node knows. */
-    bool has_changed_since(std::optional<platform::object_version> known) const noexcept
+    /** Returns whether an object has changed since a moment that another node knows. */
+    bool has_changed_since(const std::optional<platform::store_position>& known) const noexcept
     {
-        return this->held_revision && !this->holds_partial_list && (!known || *known < this->last_change);
+        return this->held && !this->holds_partial_list && (!known || *known < this->last_change());
     }
 
-    /** Returns what a node that knows a revision lacks, or nothing if no object has changed since. A node
-     * that knows nothing, or a revision from before the removals kept, gets all objects. */
-    std::optional<followed_batch> changes_since(std::optional<platform::object_version> known) const;
+    /** Returns what a node that knows a moment lacks, or nothing if no object has changed since. A node
+     * that knows nothing, or a moment from before the removals kept, gets all objects. */
+    std::optional<followed_batch> changes_since(const std::optional<platform::store_position>& known) const;
 
     /** Records a contact with the object API; an older one than known is ignored. */
     void record_contact(const store_contact& seen);
@@ -67,14 +67,19 @@
         std::string key;
     };
 
+    platform::store_position last_change() const noexcept
+    {
+        return {.generation = this->held->generation, .revision = this->last_changed_revision};
+    }
+
     void replace_all(const followed_batch& received);
     void apply_changes(const followed_batch& received);
 
     std::map<std::string, platform::object> objects;
-    std::deque<removal> removals;                ///< By rising revision.
-    platform::object_version complete_since = 0; ///< All removals after this revision are kept.
-    platform::object_version last_change = 0;    ///< Revision of the newest batch with changes.
-    std::optional<platform::object_version> held_revision;
+    std::deque<removal> removals;                       ///< By rising revision.
+    platform::object_version complete_since = 0;        ///< All removals after this revision are kept.
+    platform::object_version last_changed_revision = 0; ///< Of the newest batch with changes.
+    std::optional<platform::store_position> held;
     bool holds_partial_list = false;
     std::optional<store_contact> last_contact;
 };
--- a/modules/gateway/relay/relay_hub.cpp
+++ b/modules/gateway/relay/relay_hub.cpp
@@ -14,10 +14,10 @@
 
 std::optional<feed_status> status_of(const object_feed& feed, core::steady_time now)
 {
-    if (!feed.revision() || !feed.contact() || feed.is_partial()) {
+    if (!feed.position() || !feed.contact() || feed.is_partial()) {
         return std::nullopt;
     }
-    return feed_status{.revision = *feed.revision(),
+    return feed_status{.position = *feed.position(),
                        .age = duration_cast<milliseconds>(now - feed.contact()->answered_at),
                        .connected = duration_cast<milliseconds>(now - feed.contact()->connected_since)};
 }
@@ -29,15 +29,16 @@
     if (request.is_in_contact) {
         this->contacts.record(request.node, now);
     }
-    if (request.wait.count() == 0 || this->has_news(request.known)) {
-        on_answer(this->encode(request.known, now));
+    const known_positions known = this->read_known(request);
+    if (request.wait.count() == 0 || this->has_news(known)) {
+        on_answer(this->encode(known, now));
         return {};
     }
     if (this->waiters.size() >= maximum_waiters) {
         return core::failure(core::error_code::overloaded, "too many polls are waiting");
     }
     this->waiters.push_back(
-        {.known = request.known, .deadline = now + request.wait, .on_answer = std::move(on_answer)});
+        {.known = known, .deadline = now + request.wait, .on_answer = std::move(on_answer)});
     return {};
 }
 
@@ -65,7 +66,20 @@
     }
 }
 
-bool relay_hub::has_news(const known_revisions& known) const
+known_positions relay_hub::read_known(const relay_poll& request) const
+{
+    known_positions known = request.known;
+    for (const feed_kind kind : all_feeds) {
+        // A node that names no generations compares revisions alone, so it would drop a list and ask again at
+        // once.
+        if (!request.names_generations && known[kind] && this->feeds[kind].position()) {
+            known[kind]->generation = this->feeds[kind].position()->generation;
+        }
+    }
+    return known;
+}
+
+bool relay_hub::has_news(const known_positions& known) const
 {
     bool found = false;
     for (const feed_kind kind : all_feeds) {
@@ -74,7 +88,7 @@
     return found;
 }
 
-encoded_reply relay_hub::encode(const known_revisions& known, core::steady_time now)
+encoded_reply relay_hub::encode(const known_positions& known, core::steady_time now)
 {
     per_feed<std::optional<feed_status>> status;
     for (const feed_kind kind : all_feeds) {
@@ -84,9 +98,9 @@
                          .news = this->encode_news(known)};
 }
 
-const std::string& relay_hub::encode_news(const known_revisions& known)
+const std::string& relay_hub::encode_news(const known_positions& known)
 {
-    const known_revisions now_current = this->current();
+    const known_positions now_current = this->current();
     if (known != this->encoded_known || now_current != this->encoded_current) {
         per_feed<std::optional<followed_batch>> news;
         for (const feed_kind kind : all_feeds) {
@@ -99,11 +113,11 @@
     return this->encoded_news;
 }
 
-known_revisions relay_hub::current() const
+known_positions relay_hub::current() const
 {
-    known_revisions result;
+    known_positions result;
     for (const feed_kind kind : all_feeds) {
-        result[kind] = this->feeds[kind].revision();
+        result[kind] = this->feeds[kind].position();
     }
     return result;
 }
--- a/modules/gateway/relay/relay_hub.h
+++ b/modules/gateway/relay/relay_hub.h
@@ -51,23 +51,24 @@
 
 private:
     struct waiter {
-        known_revisions known;
+        known_positions known;
         core::steady_time deadline;
         answer_handler on_answer;
     };
 
-    bool has_news(const known_revisions& known) const;
-    encoded_reply encode(const known_revisions& known, core::steady_time now);
-    const std::string& encode_news(const known_revisions& known);
-    known_revisions current() const;
+    known_positions read_known(const relay_poll& request) const;
+    bool has_news(const known_positions& known) const;
+    encoded_reply encode(const known_positions& known, core::steady_time now);
+    const std::string& encode_news(const known_positions& known);
+    known_positions current() const;
 
     const per_feed<object_feed>& feeds;
     contact_book& contacts;
     std::list<waiter> waiters;
 
     // The nodes of a zone mostly lack the same changes, so the last encoding serves most of them.
-    known_revisions encoded_known;
-    known_revisions encoded_current;
+    known_positions encoded_known;
+    known_positions encoded_current;
     std::string encoded_news;
 };
 
--- a/modules/gateway/relay/relay_messages.cpp
+++ b/modules/gateway/relay/relay_messages.cpp
@@ -30,6 +30,12 @@
     return value.isUInt64() ? std::optional<platform::object_version>(value.asUInt64()) : std::nullopt;
 }
 
+/** Reads the generation of a revision. Nodes of earlier versions name none. */
+std::uint64_t read_generation(const Json::Value& value)
+{
+    return value.isUInt64() ? value.asUInt64() : 0;
+}
+
 std::optional<milliseconds> read_time(const Json::Value& object, const char* name)
 {
     const std::int64_t count = core::integer_member(object, name, -1);
@@ -52,6 +58,7 @@
 {
     Json::Value json;
     json["revision"] = static_cast<Json::UInt64>(batch.batch.revision);
+    json["generation"] = static_cast<Json::UInt64>(batch.batch.generation);
     json["after"] = static_cast<Json::UInt64>(batch.after);
     json["full"] = batch.is_full_list;
     json["changed"] = Json::Value(Json::arrayValue);
@@ -68,9 +75,10 @@
     if (!revision || !after || !json["full"].isBool() || !json["changed"].isArray()) {
         return malformed("a batch of the relay lacks a revision or its changes");
     }
-    followed_batch result{.batch = {.revision = *revision, .changed = {}},
-                          .is_full_list = json["full"].asBool(),
-                          .after = *after};
+    followed_batch result{
+        .batch = {.revision = *revision, .changed = {}, .generation = read_generation(json["generation"])},
+        .is_full_list = json["full"].asBool(),
+        .after = *after};
     for (Json::Value& entry : json["changed"]) {
         const std::string key = core::string_member(entry, "key");
         const std::optional<platform::object_version> version =
@@ -110,7 +118,10 @@
         if (!revision || !age || !connected) {
             return malformed("the status of the relay lacks a revision or an age");
         }
-        result.status[kind] = feed_status{.revision = *revision, .age = *age, .connected = *connected};
+        result.status[kind] = feed_status{
+            .position = {.generation = read_generation(entry["generation"]), .revision = *revision},
+            .age = *age,
+            .connected = *connected};
     }
     return result;
 }
@@ -172,9 +183,11 @@
     body["node"] = poll.node;
     body["in_contact"] = poll.is_in_contact;
     body["known"] = Json::Value(Json::objectValue);
+    body["generations"] = Json::Value(Json::objectValue);
     for (const feed_kind kind : all_feeds) {
         if (poll.known[kind]) {
-            body["known"][name_of(kind)] = static_cast<Json::UInt64>(*poll.known[kind]);
+            body["known"][name_of(kind)] = static_cast<Json::UInt64>(poll.known[kind]->revision);
+            body["generations"][name_of(kind)] = static_cast<Json::UInt64>(poll.known[kind]->generation);
         }
     }
     return core::write_json(body);
@@ -186,6 +199,7 @@
     if (!json || !json->isObject() || !(*json)["known"].isObject()) {
         return malformed("the poll is not a JSON object with the known revisions");
     }
+    const Json::Value& generations = (*json)["generations"];
     const std::optional<milliseconds> wait = read_time(*json, "wait_ms");
     if (!wait || *wait > maximum_wait) {
         return malformed("the wait of the poll is missing or out of range");
@@ -193,13 +207,19 @@
     relay_poll poll{.known = {},
                     .wait = *wait,
                     .node = core::string_member(*json, "node"),
-                    .is_in_contact = core::boolean_member(*json, "in_contact")};
+                    .is_in_contact = core::boolean_member(*json, "in_contact"),
+                    .names_generations = generations.isObject()};
     for (const feed_kind kind : all_feeds) {
         const Json::Value& known = (*json)["known"][name_of(kind)];
-        poll.known[kind] = read_revision(known);
-        if (!known.isNull() && !poll.known[kind]) {
+        const std::optional<platform::object_version> revision = read_revision(known);
+        if (!known.isNull() && !revision) {
             return malformed("a known revision of the poll is not a number");
         }
+        if (revision) {
+            poll.known[kind] = {.generation =
+                                    poll.names_generations ? read_generation(generations[name_of(kind)]) : 0,
+                                .revision = *revision};
+        }
     }
     return poll;
 }
@@ -214,7 +234,8 @@
     for (const feed_kind kind : all_feeds) {
         if (status[kind]) {
             Json::Value& entry = json[name_of(kind)];
-            entry["revision"] = static_cast<Json::UInt64>(status[kind]->revision);
+            entry["revision"] = static_cast<Json::UInt64>(status[kind]->position.revision);
+            entry["generation"] = static_cast<Json::UInt64>(status[kind]->position.generation);
             entry["age_ms"] = static_cast<Json::Int64>(status[kind]->age.count());
             entry["connected_ms"] = static_cast<Json::Int64>(status[kind]->connected.count());
         }
--- a/modules/gateway/relay/relay_messages.h
+++ b/modules/gateway/relay/relay_messages.h
@@ -42,21 +42,23 @@
     std::array<Value, feed_count> values{};
 };
 
-/** The revision of each kind that a node knows; empty for a kind of which it knows nothing. */
-using known_revisions = per_feed<std::optional<platform::object_version>>;
+/** The moment of each kind that a node knows; empty for a kind of which it knows nothing. */
+using known_positions = per_feed<std::optional<platform::store_position>>;
 
 /** Asks a relay for everything newer than what the asking node knows. @see relay_reply */
 struct relay_poll {
-    known_revisions known;
+    known_positions known;
     std::chrono::milliseconds wait{0}; ///< Longest time that the relay waits for something newer.
     std::string node = {};             ///< Id of the asking node.
     /** Whether the object API itself has answered the asking node a moment ago. */
     bool is_in_contact = false;
+    /** Whether the asking node names the generations of what it knows. Nodes of earlier versions do not. */
+    bool names_generations = true;
 };
 
 /** What a relay says of one kind of objects. @see relay_reply */
 struct feed_status {
-    platform::object_version revision = 0;
+    platform::store_position position;
     std::chrono::milliseconds age{0};       ///< Time since the object API answered, to the relay's knowledge.
     std::chrono::milliseconds connected{0}; ///< Time since which the relay's contact is uninterrupted.
 
--- a/modules/gateway/relay/relay_subscription.cpp
+++ b/modules/gateway/relay/relay_subscription.cpp
@@ -14,6 +14,12 @@
 // A relay that is reachable but not current becomes current soon after the object API is back.
 constexpr milliseconds longest_pause_if_reachable{1500};
 
+/** Returns whether a relay is of an earlier generation of the store than the asking node. */
+bool is_of_earlier_generation(const feed_status& status, const std::optional<platform::store_position>& asked)
+{
+    return asked && status.position.generation < asked->generation;
+}
+
 } // namespace
 
 void relay_subscription::set_candidates(std::vector<member> candidates_to_use)
@@ -68,7 +74,7 @@
                            const core::result<relay_reply>& reply) { this->on_reply(relay, asked, reply); });
 }
 
-void relay_subscription::on_reply(const member& relay, const known_revisions& asked,
+void relay_subscription::on_reply(const member& relay, const known_positions& asked,
                                   const core::result<relay_reply>& reply)
 {
     this->is_polling = false;
@@ -78,7 +84,7 @@
     }
     else {
         this->apply(relay, *reply, asked, now);
-        const milliseconds age = this->age_of(*reply);
+        const milliseconds age = this->age_of(*reply, asked);
         if (age < this->options.maximum_age) {
             this->states[relay.token] = {};
             this->current_until = std::max(this->current_until, now + this->options.maximum_age - age);
@@ -93,13 +99,13 @@
     }
 }
 
-void relay_subscription::apply(const member& relay, const relay_reply& reply, const known_revisions& asked,
+void relay_subscription::apply(const member& relay, const relay_reply& reply, const known_positions& asked,
                                core::steady_time now)
 {
     this->options.on_in_contact(reply.in_contact);
     for (const feed_kind kind : all_feeds) {
         const std::optional<feed_status>& status = reply.status[kind];
-        if (!status) {
+        if (!status || is_of_earlier_generation(*status, asked[kind])) {
             continue;
         }
         const store_contact contact{.answered_at = now - status->age,
@@ -110,10 +116,12 @@
             batch.source = relay.id;
             this->options.on_batch(kind, batch);
         }
-        else if (asked[kind] && status->revision > *asked[kind]) {
+        else if (asked[kind] && status->position > *asked[kind]) {
             // Nothing has changed up to the relay's revision.
-            this->options.on_batch(kind, {.batch = {.revision = status->revision, .changed = {}},
-                                          .after = *asked[kind],
+            this->options.on_batch(kind, {.batch = {.revision = status->position.revision,
+                                                    .changed = {},
+                                                    .generation = status->position.generation},
+                                          .after = asked[kind]->revision,
                                           .connected_since = contact.connected_since,
                                           .source = relay.id});
         }
@@ -121,10 +129,14 @@
     }
 }
 
-milliseconds relay_subscription::age_of(const relay_reply& reply) const
+milliseconds relay_subscription::age_of(const relay_reply& reply, const known_positions& asked) const
 {
     // Relays watch the configuration with the shortest calls, so its age shows their contact.
-    const bool is_complete = reply.status[feed_kind::configuration] && reply.status[feed_kind::upstreams];
+    bool is_complete = true;
+    for (const feed_kind kind : {feed_kind::configuration, feed_kind::upstreams}) {
+        is_complete =
+            is_complete && reply.status[kind] && !is_of_earlier_generation(*reply.status[kind], asked[kind]);
+    }
     return is_complete ? reply.status[feed_kind::configuration]->age : this->options.maximum_age;
 }
 
--- a/modules/gateway/relay/relay_subscription.h
+++ b/modules/gateway/relay/relay_subscription.h
@@ -39,6 +39,9 @@
     Follows the object API through other nodes: polls one candidate after the other, without pause, and
     leaves one that fails, falls silent or is no longer current for the next.
 
+    A relay whose store is of an earlier generation than this node knows, or that names no generation while
+   the store does, is not current: its revisions cannot be compared.
+
     A candidate that was left is asked again after a pause that doubles with each failure. A better
     candidate is preferred again as soon as its pause is over. Control thread only.
 
@@ -80,10 +83,10 @@
 
     const member* choose(core::steady_time now);
     void poll();
-    void on_reply(const member& relay, const known_revisions& asked, const core::result<relay_reply>& reply);
-    void apply(const member& relay, const relay_reply& reply, const known_revisions& asked,
+    void on_reply(const member& relay, const known_positions& asked, const core::result<relay_reply>& reply);
+    void apply(const member& relay, const relay_reply& reply, const known_positions& asked,
                core::steady_time now);
-    std::chrono::milliseconds age_of(const relay_reply& reply) const;
+    std::chrono::milliseconds age_of(const relay_reply& reply, const known_positions& asked) const;
     void on_failure(const member& relay, std::string_view reason, std::chrono::milliseconds maximum_pause);
     void set_source(const std::string& id, std::string_view reason);
 
--- a/modules/platform/objects/object_store.h
+++ b/modules/platform/objects/object_store.h
@@ -2,6 +2,7 @@
 
 #include "core/core.h"
 
+#include <compare>
 #include <cstdint>
 #include <functional>
 #include <json/json.h>
@@ -14,6 +15,19 @@
 /** Version of a stored object. The platform raises it with each write; zero means absent. */
 using object_version = std::uint64_t;
 
+/**
+    A moment in the history of the object API.
+
+    An API that is restored from a backup forgets its newest writes and gives their revisions out again, under
+   a higher generation. Revisions of two generations cannot be compared.
+*/
+struct store_position {
+    std::uint64_t generation = 0; ///< Zero if the API names none.
+    object_version revision = 0;
+
+    auto operator<=>(const store_position&) const = default;
+};
+
 /** An object of the platform's object API as read at one version. @see object_store */
 struct object {
     std::string key;
@@ -41,6 +55,13 @@
     std::vector<object> changed; ///< Latest state of each object; a removed one has a null value.
     /** Whether a list could not be read to its end, so that objects may exist which it lacks. */
     bool is_partial = false;
+    std::uint64_t generation = 0; ///< Generation to which the revision belongs; zero if the API names none.
+
+    /** Returns the moment up to which the batch tells of changes. */
+    store_position position() const noexcept
+    {
+        return {.generation = this->generation, .revision = this->revision};
+    }
 };
 
 /**
--- a/tests/core/guarded_run_test.cpp
+++ b/tests/core/guarded_run_test.cpp
@@ -82,7 +82,7 @@
         {.store = store,
          .prefix = "x/",
          .initial_retry_delay = std::chrono::milliseconds(1),
-         .known_revision = [] { return std::nullopt; },
+         .known_position = [] { return std::nullopt; },
          .pace = [] { return gateway::follower_pace{}; },
          .on_batch = [&received](const gateway::followed_batch&) { received.set(); },
          .on_failure =
--- a/tests/gateway/object_follower_test.cpp
+++ b/tests/gateway/object_follower_test.cpp
@@ -1,7 +1,10 @@
 #include "gateway/control/object_follower.h"
 #include "settings/settings.h"
 
+#include <atomic>
 #include <criterion/criterion.h>
+#include <future>
+#include <thread>
 #include <vector>
 
 namespace {
@@ -32,7 +35,7 @@
         {.store = store,
          .prefix = "x/",
          .initial_retry_delay = 1ms,
-         .known_revision = [] { return std::optional<platform::object_version>(1); },
+         .known_position = [] { return platform::store_position{.revision = 1}; },
          .pace = [] { return gateway::follower_pace{.watch_wait = 60s}; },
          .on_batch = [](const gateway::followed_batch&) {},
          .on_failure =
@@ -49,8 +52,87 @@
     return waits;
 }
 
+/** Runs a follower for a time against a store that does not keep the history of any revision. Returns the
+ * number of its calls. */
+int calls_without_history(std::chrono::milliseconds length)
+{
+    std::atomic<int> calls{0};
+    platform::object_store store;
+    store.list = [&calls](const std::string&) -> core::result<platform::watch_batch> {
+        ++calls;
+        return platform::watch_batch{.revision = 5, .changed = {}};
+    };
+    store.watch = [&calls](const std::string&, platform::object_version,
+                           core::steady_time) -> core::result<platform::watch_batch> {
+        ++calls;
+        return core::failure(core::error_code::history_gone, "fault of the fake");
+    };
+    gateway::object_follower follower(
+        {.store = store,
+         .prefix = "x/",
+         .known_position = [] { return platform::store_position{.revision = 9}; },
+         .pace = [] { return gateway::follower_pace{.maximum_retry_delay = 800ms}; },
+         .on_batch = [](const gateway::followed_batch&) {},
+         .on_failure =
+             [](const core::error&) {
+             }});
+    follower.start();
+    std::this_thread::sleep_for(length);
+    follower.stop();
+    return calls;
+}
+
+/** Runs a follower that knows generation 1 against a store of generation 2. Returns the first batch. */
+gateway::followed_batch first_batch_after_a_restore()
+{
+    std::promise<gateway::followed_batch> received;
+    std::atomic<bool> is_received{false};
+    platform::object_store store;
+    store.list = [](const std::string&) -> core::result<platform::watch_batch> {
+        return platform::watch_batch{.revision = 40, .changed = {}, .generation = 2};
+    };
+    store.watch = [](const std::string&, platform::object_version,
+                     core::steady_time) -> core::result<platform::watch_batch> {
+        return platform::watch_batch{.revision = 90, .changed = {}, .generation = 2};
+    };
+    gateway::object_follower follower(
+        {.store = store,
+         .prefix = "x/",
+         .known_position = [] { return platform::store_position{.generation = 1, .revision = 60}; },
+         .pace = [] { return gateway::follower_pace{}; },
+         .on_batch =
+             [&](const gateway::followed_batch& batch) {
+                 if (!is_received.exchange(true)) {
+                     received.set_value(batch);
+                 }
+             },
+         .on_failure =
+             [](const core::error&) {
+             }});
+    follower.start();
+    gateway::followed_batch result = received.get_future().get();
+    follower.stop();
+    return result;
+}
+
 } // namespace
 
+// Guards against a store that is called without a pause, since each of its lists names a revision whose
+// history is gone.
+Test(object_follower, lists_without_history_are_not_read_without_a_pause)
+{
+    // The pauses of 200, 400 and 800 ms are each followed by a list and a watch.
+    cr_assert_leq(calls_without_history(1500ms), 12);
+}
+
+// Guards against changes that are missed, since a restored store has given the watched revision out again.
+Test(object_follower, restored_store_is_listed_again, .timeout = 20)
+{
+    const gateway::followed_batch first = first_batch_after_a_restore();
+    cr_assert(first.is_full_list);
+    cr_assert_eq(first.batch.revision, 40U);
+}
+
 // Guards against a regained contact that is noticed only with the next change: the removals of that change
 // were then held as after an outage, and a leaving upstream got requests for too long.
 Test(object_follower, first_call_after_a_failure_returns_at_once)
--- a/tests/gateway/relay/object_feed_test.cpp
+++ b/tests/gateway/relay/object_feed_test.cpp
@@ -25,6 +25,11 @@
     return {.batch = {.revision = revision, .changed = std::move(objects)}, .is_full_list = true};
 }
 
+std::optional<platform::store_position> at(platform::object_version revision)
+{
+    return platform::store_position{.revision = revision};
+}
+
 followed_batch changes(platform::object_version after, platform::object_version revision,
                        std::vector<platform::object> objects)
 {
@@ -42,7 +47,7 @@
     cr_assert_not(feed.accept(listing(8, {})));
     cr_assert_not(feed.accept(changes(4, 7, {removed("a", 7)})));
     cr_assert_not(feed.accept(listing(10, {})));
-    cr_assert_eq(*feed.revision(), 10U);
+    cr_assert_eq(feed.position()->revision, 10U);
     cr_assert_eq(feed.changes_since(std::nullopt)->batch.changed.size(), 1U);
 }
 
@@ -54,7 +59,7 @@
     feed.accept(listing(10, {}));
     cr_assert_not(feed.accept(changes(12, 15, {stored("a", 15)})));
     cr_assert(feed.accept(changes(8, 15, {stored("a", 9), stored("b", 15)})));
-    cr_assert_eq(*feed.revision(), 15U);
+    cr_assert_eq(feed.position()->revision, 15U);
 }
 
 // Guards against removals that do not reach a node which has its objects from a relay.
@@ -64,15 +69,15 @@
     feed.accept(listing(10, {stored("a", 3), stored("b", 9)}));
     feed.accept(changes(10, 12, {removed("a", 12)}));
     feed.accept(changes(12, 14, {stored("c", 14)}));
-    const std::optional<followed_batch> news = feed.changes_since(11);
+    const std::optional<followed_batch> news = feed.changes_since(at(11));
     cr_assert(news && !news->is_full_list);
     cr_assert_eq(news->batch.revision, 14U);
     cr_assert_eq(news->batch.changed.size(), 2U);
     cr_assert_eq(news->batch.changed[0].key, "a");
     cr_assert(news->batch.changed[0].value.isNull());
     cr_assert_eq(news->batch.changed[1].key, "c");
-    cr_assert_not(feed.changes_since(14));
-    cr_assert(feed.changes_since(9)->is_full_list, "removals before the listing are not known");
+    cr_assert_not(feed.changes_since(at(14)));
+    cr_assert(feed.changes_since(at(9))->is_full_list, "removals before the listing are not known");
 }
 
 // Guards against a full answer to a node that already knows everything, which would make polls spin.
@@ -81,9 +86,9 @@
     object_feed feed;
     feed.accept(listing(10, {stored("a", 3)}));
     cr_assert(feed.accept(changes(10, 50, {})));
-    cr_assert_eq(*feed.revision(), 50U);
-    cr_assert_not(feed.has_changed_since(10));
-    cr_assert_not(feed.changes_since(10));
+    cr_assert_eq(feed.position()->revision, 50U);
+    cr_assert_not(feed.has_changed_since(at(10)));
+    cr_assert_not(feed.changes_since(at(10)));
 }
 
 // Guards against memory that grows with every removal, and against a node that misses those no longer kept.
@@ -94,8 +99,8 @@
     for (platform::object_version version = 2; version <= 1000; ++version) {
         feed.accept(changes(version - 1, version, {removed("k" + std::to_string(version), version)}));
     }
-    cr_assert(feed.changes_since(100)->is_full_list);
-    const std::optional<followed_batch> recent = feed.changes_since(900);
+    cr_assert(feed.changes_since(at(100))->is_full_list);
+    const std::optional<followed_batch> recent = feed.changes_since(at(900));
     cr_assert_not(recent->is_full_list);
     cr_assert_eq(recent->batch.changed.size(), 100U);
 }
--- a/tests/gateway/relay/relay_messages_test.cpp
+++ b/tests/gateway/relay/relay_messages_test.cpp
@@ -18,7 +18,8 @@
     news[feed_kind::upstreams] =
         gateway::followed_batch{.batch = {.revision = 12,
                                           .changed = {{.key = "up/a", .version = 11, .value = value},
-                                                      {.key = "up/b", .version = 12, .value = {}}}},
+                                                      {.key = "up/b", .version = 12, .value = {}}},
+                                          .generation = 3},
                                 .after = 7};
     return news;
 }
@@ -26,7 +27,8 @@
 gateway::per_feed<std::optional<gateway::feed_status>> sample_status()
 {
     gateway::per_feed<std::optional<gateway::feed_status>> status;
-    status[feed_kind::upstreams] = gateway::feed_status{.revision = 12, .age = 40ms, .connected = 9s};
+    status[feed_kind::upstreams] =
+        gateway::feed_status{.position = {.generation = 3, .revision = 12}, .age = 40ms, .connected = 9s};
     return status;
 }
 
@@ -36,7 +38,7 @@
 Test(relay_messages, poll_and_reply_survive_the_wire)
 {
     gateway::relay_poll poll{.known = {}, .wait = 700ms};
-    poll.known[feed_kind::configuration] = 3;
+    poll.known[feed_kind::configuration] = {.generation = 2, .revision = 3};
     const auto read = gateway::parse_relay_poll(gateway::make_relay_poll(poll));
     cr_assert(read && read->known == poll.known && read->wait == poll.wait);
 
@@ -47,6 +49,7 @@
     cr_assert(reply->in_contact == std::vector<std::string>{"n1"});
     const gateway::followed_batch& batch = *reply->news[feed_kind::upstreams];
     cr_assert_eq(batch.batch.revision, 12U);
+    cr_assert_eq(batch.batch.generation, 3U);
     cr_assert_eq(batch.after, 7U);
     cr_assert_not(batch.is_full_list);
     cr_assert_eq(batch.batch.changed[0].value["routes"].asString().size(), 5000U);
--- a/tests/gateway/relay/relay_subscription_test.cpp
+++ b/tests/gateway/relay/relay_subscription_test.cpp
@@ -107,7 +107,7 @@
 
     platform::object_version known() const
     {
-        return this->feeds[feed_kind::configuration].revision().value_or(0);
+        return this->feeds[feed_kind::configuration].position().value_or(platform::store_position{}).revision;
     }
 
     simulated_time time;
@@ -131,7 +131,7 @@
                     if (this->may_accept_lower) {
                         break;
                     }
-                    poll.known[kind] = this->feeds[kind].revision();
+                    poll.known[kind] = this->feeds[kind].position();
                 }
                 return poll;
             },
--- a/tests/platform/paged_list_test.cpp
+++ b/tests/platform/paged_list_test.cpp
@@ -2,6 +2,7 @@
 #include "platform/store/object_api.h"
 #include "platform/wire/stored_objects.h"
 
+#include <atomic>
 #include <criterion/criterion.h>
 #include <functional>
 #include <httplib.h>
@@ -43,6 +44,9 @@
             const std::lock_guard lock(this->mutex);
             this->targets.push_back(request.method + " " + request.path);
             const std::string content = this->answer(request.get_param_value("afterRev"));
+            if (this->generation > 0) {
+                response.set_header("Store-Era", std::to_string(this->generation));
+            }
             response.status = content.empty() ? 400 : 200;
             response.set_content(content, "application/json");
         };
@@ -75,6 +79,8 @@
         return this->targets;
     }
 
+    std::atomic<int> generation{0}; ///< Named in the answers unless it is zero.
+
 private:
     const std::function<std::string(const std::string& after)> answer;
     httplib::Server server;
@@ -179,3 +185,30 @@
     cr_expect_eq(batch->changed.size(), 2U);
     cr_expect_not(batch->is_partial);
 }
+
+// Guards against a list whose pages come from before and after a restore of the store, and so lacks what lies
+// between.
+Test(paged_list, pages_of_two_generations_are_not_joined)
+{
+    paging_api* store = nullptr;
+    paging_api api([&store](const std::string& after) {
+        store->generation = after.empty() ? 1 : 2;
+        return after.empty() ? page(entry("a"), true) : page(entry("b"), false);
+    });
+    store = &api;
+    cr_expect_not(api.store().list("servers/").has_value());
+}
+
+// Guards against revisions that are compared across a restore, since the generation is not read.
+Test(paged_list, generation_of_the_answers_is_read)
+{
+    paging_api api([](const std::string&) { return page(entry("a"), false); });
+    const platform::object_store store = api.store();
+    cr_expect_eq(store.list("servers/")->generation, 0U);
+    api.generation = 7;
+    cr_expect_eq(store.list("servers/")->generation, 7U);
+    cr_expect_eq(store.watch("servers/", 5, std::chrono::steady_clock::now())->generation, 7U);
+    api.generation = 0;
+    cr_expect_eq(store.list("servers/")->generation, 7U,
+                 "an answer that names none is of the last one named");
+}
