Keep the leaving of upstreams when the store forgets it

What callers would see once nodes listen to a restored store: requests to an upstream whose leaving this node has acknowledged, since the copy says ready for some seconds (DRAIN binds such a node also while the store is in disruption). Cause: leaving was a value of the store, though it cannot be undone for a process. Class: knowledge with an order of its own is kept in the order of its store. Change: draining is final for a process (id and start); a removed one comes back after a restore only if its entry outlives 10 s, in which lost changes are written again; an earlier process never replaces a later one.

--- a/modules/gateway/control/upstream_tracker.h
+++ b/modules/gateway/control/upstream_tracker.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/core.h"
+#include "gateway/control/departed_upstreams.h"
 #include "gateway/control/object_follower.h"
 #include "gateway/model/upstream.h"
 
@@ -24,6 +25,10 @@
     hold time has passed. A change to draining takes effect at once, and the entry of a draining upstream
     is never held after its removal.
 
+    Leaving is final for a process of an upstream, whatever the object API says later: one that was draining
+   stays so, and one that was removed before the object API was restored from a backup comes back only if its
+   entry outlives the time in which lost changes are written again.
+
     @see object_follower
 */
 class upstream_tracker {
@@ -40,7 +45,8 @@
     /** Records that the contact with the object API is uninterrupted since a time. */
     void set_connected(core::steady_time since);
 
-    /** Removes missing entries whose hold time is over. Returns whether the table has changed. */
+    /** Removes missing entries whose hold time is over, and takes over doubted ones that have outlived their
+     * time. Returns whether the table has changed. */
     bool expire(core::steady_time now);
 
     /** Returns the table of upstreams to publish. */
@@ -52,7 +58,9 @@
         std::optional<core::steady_time> missing_until; ///< End of the hold time of a missing entry.
     };
 
-    bool set(upstream entry, const followed_batch& received);
+    bool is_older_than_known(const upstream& entry) const;
+    bool accept(upstream entry, const followed_batch& received, core::steady_time now);
+    bool set(upstream entry, std::string_view source, platform::store_position position);
     bool set_unusable(const std::string& id, const std::string& reason);
     void hold_removals(core::steady_time connected_since);
     bool remove(const std::string& id, core::steady_time now);
@@ -60,6 +68,9 @@
 
     const upstream_reader read;
     std::map<std::string, tracked> entries;
+    departed_upstreams departed;
+    std::map<std::string, upstream> doubted; ///< Entries of processes that had left before a restore, by id.
+    core::steady_time doubt_until;           ///< Until then lost changes may still be written again.
     std::map<std::string, std::string> unusable; ///< Why an entry names no upstream, by id.
     bool is_connected = true;
     core::steady_time hold_until; ///< Entries removed before this time stay in the table until then.
--- a/modules/gateway/rollout/rollout_order.h
+++ b/modules/gateway/rollout/rollout_order.h
@@ -44,6 +44,8 @@
     rollout_order order;
     core::steady_time first_seen;
     bool is_found_at_start = false; ///< Whether the order may be older than `first_seen`.
+    /** Whether the object API has lost the final state of the order, so that it must be stored again. */
+    bool has_lost_state = false;
 
     bool operator==(const known_rollout&) const = default;
 };
--- a/modules/gateway/rollout/rollout_tracker.cpp
+++ b/modules/gateway/rollout/rollout_tracker.cpp
@@ -41,13 +41,13 @@
         }
         if (order) {
             seen.insert(object.key);
-            this->set(object.key, std::move(*order), now);
+            this->set(object.key, std::move(*order), received.is_after_restore, now);
         }
         else if (const auto known = this->services.extract(object.key)) {
             this->entries.erase(known.mapped());
         }
     }
-    if (received.is_full_list) {
+    if (received.is_full_list && !received.is_after_restore) {
         std::erase_if(this->services, [&](const auto& known) {
             const bool is_removed = !seen.contains(known.first);
             if (is_removed) {
@@ -60,12 +60,21 @@
     return std::make_shared<const rollout_table>(this->entries);
 }
 
-void rollout_tracker::set(const std::string& key, rollout_order order, core::steady_time now)
+void rollout_tracker::set(const std::string& key, rollout_order order, bool is_after_restore,
+                          core::steady_time now)
 {
     this->services[key] = order.service;
     const auto known = this->entries.find(order.service);
     const bool is_same_order = known != this->entries.end() && known->second.order.target == order.target &&
                                known->second.order.duration == order.duration;
+    const bool may_be_lost = is_same_order && (is_after_restore || known->second.has_lost_state);
+    if (may_be_lost && is_final(known->second.order.state) && !is_final(order.state)) {
+        order.state = known->second.order.state;
+        known->second.has_lost_state = true;
+    }
+    else if (is_same_order) {
+        known->second.has_lost_state = false;
+    }
     if (is_same_order && known->second.order.state == order.state) {
         known->second.order = std::move(order);
         return;
--- a/modules/gateway/rollout/rollout_tracker.h
+++ b/modules/gateway/rollout/rollout_tracker.h
@@ -11,6 +11,9 @@
 /**
     Tracks the operator's roll-out orders from the batches of a follower. Control thread only.
 
+    A final state stays final, and an order stays known, when the object API is restored from a backup that
+   lacks it.
+
     @see rollout_controller
 */
 class rollout_tracker {
@@ -21,7 +24,7 @@
     std::shared_ptr<const rollout_table> apply(const followed_batch& received, core::steady_time now);
 
 private:
-    void set(const std::string& key, rollout_order order, core::steady_time now);
+    void set(const std::string& key, rollout_order order, bool is_after_restore, core::steady_time now);
 
     const rollout_reader read;
     rollout_table entries;                       ///< By service.
