Store the final state of a roll-out again that the store has lost

Cause: a copy from before the end of a roll-out says that it runs, so operators, and nodes that start, take a version that was taken back for one that is being tried. Change: nodes that know the final state store it again, by condition and at different moments within 2 s. Measured: lost_rollout_state/* and restored_knowledge/final_state_of_a_rollout_stays_final pass; the states did not exist before.

--- a/modules/gateway/rollout/rollout_controller.cpp
+++ b/modules/gateway/rollout/rollout_controller.cpp
@@ -30,6 +30,9 @@
 constexpr milliseconds write_retry_interval{400};
 // The second judge stores a state this much after the first, the third after twice the time.
 constexpr milliseconds rank_delay{300};
+// All nodes know a final state that the object API has lost. Mostly the first of them stores it again before
+// the others try.
+constexpr milliseconds longest_lost_state_delay{2000};
 // A fault that begins late shows in the outcomes of a recent period before it shows in all.
 constexpr std::array recent_periods{milliseconds(2000), milliseconds(4000), milliseconds(8000),
                                     milliseconds(16000)};
@@ -97,6 +100,7 @@
 {
     const core::steady_time now = this->options.time.steady();
     this->follow_orders(now);
+    this->store_lost_states(now);
     for (auto& [service, rollout] : this->rollouts) {
         const std::vector<member> judges = this->judges_of(rollout);
         const auto self = std::find_if(judges.begin(), judges.end(), [this](const member& candidate) {
@@ -429,6 +433,33 @@
     return in_flight == 0 && 2 * reporting > this->node_count();
 }
 
+void rollout_controller::store_lost_states(core::steady_time now)
+{
+    if (this->followed == nullptr) {
+        return;
+    }
+    std::erase_if(this->lost_states, [this](const auto& entry) {
+        const auto known = this->followed->find(entry.first);
+        return known == this->followed->end() || !known->second.has_lost_state;
+    });
+    for (const auto& [service, known] : *this->followed) {
+        if (!known.has_lost_state) {
+            continue;
+        }
+        const milliseconds delay(core::hash64(this->options.process + service) %
+                                 longest_lost_state_delay.count());
+        core::steady_time& next = this->lost_states.try_emplace(service, now + delay).first->second;
+        if (now < next) {
+            continue;
+        }
+        next = now + longest_lost_state_delay;
+        this->options.write(known.order, known.order.state,
+                            [order = known.order](const core::result<platform::put_outcome>& outcome) {
+                                log_write(order, order.state, outcome);
+                            });
+    }
+}
+
 void rollout_controller::write_state(active_rollout& rollout, std::size_t rank, core::steady_time now)
 {
     const milliseconds delay = rank_delay * static_cast<std::int64_t>(rank);
--- a/modules/gateway/rollout/rollout_controller.h
+++ b/modules/gateway/rollout/rollout_controller.h
@@ -128,6 +128,7 @@
     void send_reports(active_rollout& rollout, const std::vector<member>& judges, core::steady_time now);
     void on_answer(const std::string& service, const std::string& target, const std::string& judge_id,
                    const core::result<rollout_answer>& answer);
+    void store_lost_states(core::steady_time now);
     void write_state(active_rollout& rollout, std::size_t rank, core::steady_time now);
     bool may_complete(const active_rollout& rollout, core::steady_time now) const;
     std::int64_t stable_in_flight(const active_rollout& rollout) const;
@@ -143,6 +144,8 @@
 
     const rollout_controller_options options;
     std::shared_ptr<const rollout_table> followed;
+    std::map<std::string, core::steady_time>
+        lost_states;                                ///< When a lost final state is stored next, by service.
     std::map<std::string, active_rollout> rollouts; ///< Roll-outs that have not ended, by service.
     std::map<std::string, request_counts> requests;
 };
