Keep crash reports when the store loses them

Cause: a list without this node's report was taken for an operator's removal, so after a return from a copy the fleet forgot which parts of prompts crash upstreams. Change: after a restore known reports stay, and each node stores its own again. Measured: quarantine/part_stays_refused_when_the_store_loses_the_reports passes.

--- a/modules/gateway/quarantine/quarantine_book.cpp
+++ b/modules/gateway/quarantine/quarantine_book.cpp
@@ -25,18 +25,25 @@
 void quarantine_book::apply(const followed_batch& received)
 {
     std::map<std::string, crash_report> others;
-    if (!received.is_full_list) {
+    // Each node stores its report again after a restore of the object API, so what is known is newer until
+    // then.
+    const bool keeps_known = received.is_after_restore;
+    if (!received.is_full_list || keeps_known) {
         others = this->reports;
         others.erase(this->options.node);
     }
-    bool has_own = !received.is_full_list;
+    bool has_own = !received.is_full_list || keeps_known;
+    if (keeps_known) {
+        this->stored_version = 0;
+        this->has_changed = this->reports.contains(this->options.node);
+    }
     for (const platform::object& object : received.batch.changed) {
         const std::string node = platform::object_name(object.key);
         core::result<crash_report> report = crash_report_from_json(object.value);
         if (node == this->options.node) {
             has_own = !object.value.isNull();
             const bool is_of_earlier_process =
-                has_own && this->stored_version == 0 && !this->is_writing && report;
+                has_own && this->stored_version == 0 && !this->is_writing && !keeps_known && report;
             if (is_of_earlier_process) {
                 crash_report& own = this->reports[node];
                 own.crashes.insert(own.crashes.begin(), report->crashes.begin(), report->crashes.end());
@@ -55,7 +62,9 @@
             others.erase(node);
             continue;
         }
-        others[node] = std::move(*report);
+        if (!keeps_known || !others.contains(node)) {
+            others[node] = std::move(*report);
+        }
     }
     if (!has_own && this->stored_version != 0) {
         this->reports.erase(this->options.node);
--- a/modules/gateway/quarantine/quarantine_book.h
+++ b/modules/gateway/quarantine/quarantine_book.h
@@ -31,6 +31,9 @@
     Joins what all nodes have seen of crashes, decides which parts of prompts are refused, and stores this
     node's own report. Control thread only.
 
+    Reports stay known when the object API is restored from a backup that lacks them, and each node stores its
+   own again.
+
     The reports last in the object API, so that a restarted node refuses at once what the fleet has learnt. An
     operator clears a part by removing the reports. A quarantine ends after ten minutes without a crash.
 
--- a/tests/gateway/quarantine/quarantine_test.cpp
+++ b/tests/gateway/quarantine/quarantine_test.cpp
@@ -64,6 +64,15 @@
         }
     }
 
+    /** Replaces all reports by none, as a copy of the store from before them has it. */
+    void restore_empty_store()
+    {
+        this->store.forget(gateway::crashes_prefix);
+        for (auto& target : this->nodes) {
+            target->book->apply({.batch = {.revision = 1}, .is_full_list = true, .is_after_restore = true});
+        }
+    }
+
     /** Lets every node have answers to prompts that share no part with the tests' ones. */
     void answer_others()
     {
@@ -131,6 +140,24 @@
     cr_assert(fleet.is_quarantined(5, "deadly"));
 }
 
+// Guards against a deadly part whose requests are served again, since a copy of the store lacks the reports.
+Test(quarantine, part_stays_refused_when_the_store_loses_the_reports)
+{
+    quarantine_fleet fleet(3);
+    fleet.answer_others();
+    for (int crash = 0; crash < 3; ++crash) {
+        fleet.nodes[crash]->book->record_crash(upstream(crash), {"deadly"});
+    }
+    fleet.settle();
+    fleet.restore_empty_store();
+    for (std::size_t index = 0; index < 3; ++index) {
+        cr_expect(fleet.is_quarantined(index, "deadly"), "node %zu", index);
+    }
+    fleet.settle();
+    fleet.restart(1);
+    cr_expect(fleet.is_quarantined(1, "deadly"), "the reports are stored again");
+}
+
 // Guards against a sound part that is refused because one node alone does not know that it was answered.
 Test(quarantine, answer_at_any_node_clears_a_part)
 {
--- a/tests/support/fake_object_store.h
+++ b/tests/support/fake_object_store.h
@@ -48,6 +48,14 @@
         }
     }
 
+    /** Loses objects without a trace, as a restore from a copy that lacks them does. */
+    void forget(const std::string& prefix)
+    {
+        const std::lock_guard lock(this->mutex);
+        std::erase_if(this->objects,
+                      [&prefix](const auto& entry) { return entry.first.starts_with(prefix); });
+    }
+
     /** Returns an object without counting the call in `calls`. */
     std::optional<platform::object> peek(const std::string& key)
     {
