--- a/modules/gateway/control/fleet_view.cpp
+++ b/modules/gateway/control/fleet_view.cpp
@@ -218,7 +218,7 @@
 void fleet_view::log_ignored(feed_kind kind, const followed_batch& received) const
 {
     const platform::store_position held = this->feeds[kind].position().value_or(platform::store_position{});
-    if (!received.is_full_list || received.batch.position() >= held) {
+    if (!received.is_full_list || held <= received.batch.position()) {
         return; // Late and repeated changes are usual.
     }
     core::log_event(core::log_level::warning, "list_ignored",
--- a/modules/platform/objects/object_store.h
+++ b/modules/platform/objects/object_store.h
@@ -2,12 +2,12 @@
 
 #include "core/core.h"
 
-#include <compare>
 #include <cstdint>
 #include <functional>
 #include <json/json.h>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace samphireway::platform {
@@ -25,7 +25,22 @@
     std::uint64_t generation = 0; ///< Zero if the API names none.
     object_version revision = 0;
 
-    auto operator<=>(const store_position&) const = default;
+    bool operator==(const store_position&) const = default;
+
+    bool operator<(const store_position& other) const
+    {
+        return std::tie(this->generation, this->revision) < std::tie(other.generation, other.revision);
+    }
+
+    bool operator<=(const store_position& other) const
+    {
+        return !(other < *this);
+    }
+
+    bool operator>(const store_position& other) const
+    {
+        return other < *this;
+    }
 };
 
 /** An object of the platform's object API as read at one version. @see object_store */
