--- a/tests/gateway/relay/restored_feed_test.cpp
+++ b/tests/gateway/relay/restored_feed_test.cpp
@@ -15,7 +15,7 @@
 /** Of the store after it was restored. */
 constexpr store_position restored{.generation = 2, .revision = 40};
 
-followed_batch listing(store_position position, std::vector<std::string> keys)
+followed_batch listing(store_position position, const std::vector<std::string>& keys)
 {
     followed_batch result{
         .batch = {.revision = position.revision, .changed = {}, .generation = position.generation},
--- a/tests/processes/returning_store.cpp
+++ b/tests/processes/returning_store.cpp
@@ -36,6 +36,11 @@
 
 } // namespace
 
+returning_store::~returning_store()
+{
+    this->stop();
+}
+
 std::int64_t returning_store::set(const std::string& kind, const std::string& name, const Json::Value& spec)
 {
     const std::lock_guard lock(this->mutex);
@@ -144,21 +149,23 @@
             return;
         }
         const reply result = this->answer(*call);
-        std::string head;
+        std::int64_t named_generation = 0;
         {
             const std::lock_guard lock(this->mutex);
             if (this->is_away) {
                 return;
             }
             ++this->answered[result.status];
-            head = "HTTP/1.1 " + std::to_string(result.status) +
-                   " X\r\nStore-Era: " + std::to_string(this->generation) + "\r\n";
+            named_generation = this->generation;
         }
         Json::StreamWriterBuilder writer;
         writer["indentation"] = "";
         const std::string body = Json::writeString(writer, result.body);
-        if (!from.write(head + "Content-Type: application/json\r\nContent-Length: " +
-                        std::to_string(body.size()) + "\r\n\r\n" + body)) {
+        std::ostringstream text;
+        text << "HTTP/1.1 " << result.status << " X\r\nStore-Era: " << named_generation
+             << "\r\nContent-Type: application/json\r\nContent-Length: " << body.size() << "\r\n\r\n"
+             << body;
+        if (!from.write(text.str())) {
             return;
         }
     }
--- a/tests/processes/returning_store.h
+++ b/tests/processes/returning_store.h
@@ -24,6 +24,7 @@
     using kinds = std::map<std::string, std::map<std::string, Json::Value>>;
 
     returning_store() = default;
+    ~returning_store();
     returning_store(const returning_store&) = delete;
     returning_store& operator=(const returning_store&) = delete;
 
@@ -44,7 +45,7 @@
     /** Keeps a copy of what is stored now. */
     void copy();
 
-    /** Closes all connections, and does so with new ones until the store is back. */
+    /** Ends waiting calls, and closes each connection that is used until the store is back. */
     void go_away();
 
     /** Takes over the copy. @pre the store is away */
