--- a/modules/gateway/control/departed_upstreams.h
+++ b/modules/gateway/control/departed_upstreams.h
@@ -11,10 +11,10 @@
 
 /**
     Remembers the processes of upstreams that have left the table, so that an older entry is told from a new
-   one.
+    one.
 
     The order is that of the processes' starts, not that of the store's revisions, which a restored store
-   gives out again. Bounded; the oldest departures are forgotten first.
+    gives out again. Bounded; the oldest departures are forgotten first.
 
     @see upstream_tracker
 */
--- a/modules/gateway/control/fleet_view.h
+++ b/modules/gateway/control/fleet_view.h
@@ -47,12 +47,12 @@
     on the blackboard.
 
     What the object API forgets when it is restored from a backup stays known where it cannot be undone: each
-   tracker decides that for its kind of objects, by `followed_batch::is_after_restore`.
+    tracker decides that for its kind of objects, by `followed_batch::is_after_restore`.
 
     In a large fleet a few relays watch the object API and the other nodes poll these. A node whose relays
     are not current watches the object API itself until they are again. Whoever sends a batch, it is
     applied only if it is newer than what is known. All state is the control thread's; each follower calls on
-   its own thread.
+    its own thread.
 
     @see object_follower, relay_subscription, relay_hub
 */
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -41,7 +41,7 @@
     platform::object_store store;
     std::string prefix;
     std::chrono::milliseconds initial_retry_delay{200}; ///< First delay; doubled per further failure.
-    /** Returns the moment from which to watch, or nothing if the objects must be listed. */
+    /** Returns the position from which to watch, or nothing if the objects must be listed. */
     std::function<std::optional<platform::store_position>()> known_position;
     /** Returns whether the objects known are those of a list that could not be read to its end. */
     std::function<bool()> holds_partial_list = [] {
@@ -59,7 +59,7 @@
     A watch starts from the revision that the node knows, whoever it has it from. After a failed call the
     follower resumes from there. It lists the objects again when the store no longer keeps the changes
     since that revision or has been restored from a backup, and from time to time after a list that could not
-   be read to its end.
+    be read to its end.
 */
 class object_follower {
 public:
--- a/modules/gateway/control/upstream_tracker.h
+++ b/modules/gateway/control/upstream_tracker.h
@@ -26,8 +26,8 @@
     is never held after its removal.
 
     Leaving is final for a process of an upstream, whatever the object API says later: one that was draining
-   stays so, and one that was removed before the object API was restored from a backup comes back only if its
-   entry outlives the time in which lost changes are written again.
+    stays so, and one that was removed before the object API was restored from a backup comes back only if its
+    entry outlives the time in which lost changes are written again.
 
     @see object_follower
 */
--- a/modules/gateway/quarantine/quarantine_book.h
+++ b/modules/gateway/quarantine/quarantine_book.h
@@ -32,7 +32,7 @@
     node's own report. Control thread only.
 
     Reports stay known when the object API is restored from a backup that lacks them, and each node stores its
-   own again.
+    own again.
 
     The reports last in the object API, so that a restarted node refuses at once what the fleet has learnt. An
     operator clears a part by removing the reports. A quarantine ends after ten minutes without a crash.
--- a/modules/gateway/relay/object_feed.h
+++ b/modules/gateway/relay/object_feed.h
@@ -16,11 +16,11 @@
 };
 
 /**
-    The objects of one kind as of one moment of the object API, from whoever sent them.
+    The objects of one kind as of one position of the object API, from whoever sent them.
 
-    The moment never goes back: a batch that is not newer, or that leaves out changes, is ignored. A higher
+    The position never goes back: a batch that is not newer, or that leaves out changes, is ignored. A higher
     generation begins with a list. The removals since an earlier revision are kept, so that another node can
-   be sent only what it lacks. Control thread only.
+    be sent only what it lacks. Control thread only.
 
     @see relay_hub, relay_subscription
 */
@@ -36,20 +36,20 @@
         return this->holds_partial_list;
     }
 
-    /** Returns the moment of the objects, or nothing before the first batch. */
+    /** Returns the position of the objects, or nothing before the first batch. */
     std::optional<platform::store_position> position() const noexcept
     {
         return this->held;
     }
 
-    /** Returns whether an object has changed since a moment that another node knows. */
+    /** Returns whether an object has changed since a position that another node knows. */
     bool has_changed_since(const std::optional<platform::store_position>& known) const noexcept
     {
         return this->held && !this->holds_partial_list && (!known || *known < this->last_change());
     }
 
-    /** Returns what a node that knows a moment lacks, or nothing if no object has changed since. A node
-     * that knows nothing, or a moment from before the removals kept, gets all objects. */
+    /** Returns what a node that knows a position lacks, or nothing if no object has changed since. A node
+     * that knows nothing, or a position from before the removals kept, gets all objects. */
     std::optional<followed_batch> changes_since(const std::optional<platform::store_position>& known) const;
 
     /** Records a contact with the object API; an older one than known is ignored. */
--- a/modules/gateway/relay/relay_messages.h
+++ b/modules/gateway/relay/relay_messages.h
@@ -42,7 +42,7 @@
     std::array<Value, feed_count> values{};
 };
 
-/** The moment of each kind that a node knows; empty for a kind of which it knows nothing. */
+/** The position of each kind that a node knows; empty for a kind of which it knows nothing. */
 using known_positions = per_feed<std::optional<platform::store_position>>;
 
 /** Asks a relay for everything newer than what the asking node knows. @see relay_reply */
--- a/modules/gateway/relay/relay_subscription.h
+++ b/modules/gateway/relay/relay_subscription.h
@@ -40,7 +40,7 @@
     leaves one that fails, falls silent or is no longer current for the next.
 
     A relay whose store is of an earlier generation than this node knows, or that names no generation while
-   the store does, is not current: its revisions cannot be compared.
+    the store does, is not current: its revisions cannot be compared.
 
     A candidate that was left is asked again after a pause that doubles with each failure. A better
     candidate is preferred again as soon as its pause is over. Control thread only.
--- a/modules/gateway/rollout/rollout_tracker.h
+++ b/modules/gateway/rollout/rollout_tracker.h
@@ -12,7 +12,7 @@
     Tracks the operator's roll-out orders from the batches of a follower. Control thread only.
 
     A final state stays final, and an order stays known, when the object API is restored from a backup that
-   lacks it.
+    lacks it.
 
     @see rollout_controller
 */
--- a/modules/platform/objects/object_store.h
+++ b/modules/platform/objects/object_store.h
@@ -16,10 +16,10 @@
 using object_version = std::uint64_t;
 
 /**
-    A moment in the history of the object API.
+    A position in the history of the object API.
 
     An API that is restored from a backup forgets its newest writes and gives their revisions out again, under
-   a higher generation. Revisions of two generations cannot be compared.
+    a higher generation. Revisions of two generations cannot be compared.
 */
 struct store_position {
     std::uint64_t generation = 0; ///< Zero if the API names none.
@@ -72,7 +72,7 @@
     bool is_partial = false;
     std::uint64_t generation = 0; ///< Generation to which the revision belongs; zero if the API names none.
 
-    /** Returns the moment up to which the batch tells of changes. */
+    /** Returns the position up to which the batch tells of changes. */
     store_position position() const noexcept
     {
         return {.generation = this->generation, .revision = this->revision};
--- a/tests/processes/returning_store.h
+++ b/tests/processes/returning_store.h
@@ -17,7 +17,7 @@
     A stand-in of the platform's store that can be away and come back from a copy of an earlier moment.
 
     After such a return the changes since the copy are lost, their revisions are given out again, and all
-   answers name a higher generation (`Store-Era`). A watch from a revision that does not exist gets 410.
+    answers name a higher generation (`Store-Era`). A watch from a revision that does not exist gets 410.
 */
 class returning_store {
 public:
