--- a/review/scene/main.cpp
+++ b/review/scene/main.cpp
@@ -313,34 +313,57 @@
     std::thread watch;
 };
 
-/** One part of a prompt crashes each engine that begins to write an answer on it; the engines' answers come
- * with neither a length nor chunks, or in chunks. */
-int deadly_part(record& notes, bool is_framed)
+/** How the engines of a scene with a deadly part answer. */
+struct deadly_scene {
+    bool is_framed = false;           ///< In chunks; else with neither a length nor chunks.
+    bool crashes_before_head = false; ///< Else after the first event.
+    bool has_desk = false;            ///< Whether a plain service is asked as well.
+};
+
+/** What requesters and engines saw in such a scene; times are those of the record. */
+struct deadly_result {
+    std::vector<long long> arrivals; ///< Of requests with the part at engines.
+    std::vector<long long> crashes;
+    std::vector<std::pair<long long, bool>> sound; ///< When a sound request was sent, and whether it began.
+    long long deadly_from = 0;
+    long long deadly_until = 0;
+};
+
+constexpr int contact_ms = 3000;
+constexpr std::size_t crashes_to_know = 5;
+
+/** One part of a prompt crashes each engine that begins to write an answer on it. */
+deadly_result play_deadly_part(record& notes, const deadly_scene& scene_to_play)
 {
     constexpr int engine_count = 10;
-    constexpr int contact_ms = 3000;
-    constexpr int crashes_to_know = 5;
-    constexpr std::size_t allowed = 3;
+    constexpr int interval_ms = 50;
+    constexpr int requests_sent = 35000 / interval_ms;
+    constexpr int warm_up = 6000 / interval_ms;
+    constexpr int one_deadly_of = 20;
     const std::string deadly = "deadbeef";
+    deadly_result result;
     std::mutex mutex;
-    std::vector<long long> arrivals;
-    std::vector<long long> crashes;
     const workspace place;
     store platform(notes);
-    platform.set("config", "main", make_config(1, 1'000'000'000, stride));
+    platform.set("config", "main", make_config(1, 1'000'000'000, stride, scene_to_play.has_desk));
     engine::options base{.id = {}, .service = "taller", .events = events, .event_gap = milliseconds(30)};
-    base.is_framed = is_framed;
+    base.is_framed = scene_to_play.is_framed;
+    base.crashes_before_head = scene_to_play.crashes_before_head;
     base.deadly_part = deadly;
     base.on_deadly_arrival = [&] {
         const std::lock_guard lock(mutex);
-        arrivals.push_back(notes.now_ms());
+        result.arrivals.push_back(notes.now_ms());
         notes.line("the deadly part reaches an engine");
     };
     base.on_crash = [&] {
         const std::lock_guard lock(mutex);
-        crashes.push_back(notes.now_ms());
-        notes.line("crash " + std::to_string(crashes.size()) + " of an engine");
+        result.crashes.push_back(notes.now_ms());
+        notes.line("crash " + std::to_string(result.crashes.size()) + " of an engine");
     };
+    engine desk(notes, engine::options{.id = "i-desk", .service = "desk", .slots = 6, .is_plain = true});
+    if (scene_to_play.has_desk) {
+        platform.set("servers", desk.setup.id, desk.entry("ready"));
+    }
     std::vector<std::unique_ptr<crashing_engine>> engines;
     for (int number = 1; number <= engine_count; ++number) {
         engines.push_back(std::make_unique<crashing_engine>(notes, platform, number, base));
@@ -356,21 +379,25 @@
     }
     pause(4000);
     std::vector<std::thread> requests;
-    std::atomic<int> sound_sent{0};
-    std::atomic<int> sound_served{0};
     const auto begin = steady::now();
-    constexpr int interval_ms = 50;
-    constexpr int requests_sent = 35000 / interval_ms;
-    constexpr int warm_up = 5000 / interval_ms;
-    constexpr int one_deadly_of = 20;
     for (int number = 0; number < requests_sent; ++number) {
         const bool is_deadly = has_trouble() && number > warm_up && number % one_deadly_of == 0;
-        requests.emplace_back([&, number, is_deadly] {
+        const bool is_plain = scene_to_play.has_desk && !is_deadly && number % 2 == 1;
+        if (is_deadly) {
+            result.deadly_from = result.deadly_from == 0 ? notes.now_ms() : result.deadly_from;
+            result.deadly_until = notes.now_ms();
+        }
+        requests.emplace_back([&, number, is_deadly, is_plain] {
             const std::string id = "a" + std::to_string(100000 + number);
-            request sent{.id = id, .path = "/chat/1", .key = "key-alfa", .prompt_tokens = 1000,
+            request sent{.id = id,
+                         .path = is_plain ? "/status/1" : "/chat/1",
+                         .key = "key-alfa",
+                         .prompt_tokens = 1000,
                          .output_tokens = output_tokens};
-            sent.parts = "5c1e07a2:600," + (is_deadly ? deadly + ":150" : std::string("ab") +
-                         std::to_string(number % 12) + ":150") + "," + id + ":250";
+            sent.is_plain = is_plain;
+            sent.parts = "5c1e07a2:600," +
+                         (is_deadly ? deadly : "ab" + std::to_string(10 + number % 12)) + ":150," + id + ":250";
+            const long long sent_ms = notes.now_ms();
             int status = 0;
             int received = 0;
             if (const auto connected = channel::connect(nodes[static_cast<std::size_t>(number) % 3]->front)) {
@@ -379,12 +406,13 @@
                 status = got ? got->status() : 0;
                 received = got ? count_events(got->body) : 0;
             }
-            if (!is_deadly) {
-                ++sound_sent;
-                sound_served += status == 200 && received == events ? 1 : 0;
+            const char* const kind = is_deadly ? "deadly " : is_plain ? "plain " : "sound ";
+            notes.line(kind + id + " got " + std::to_string(status) + " with " + std::to_string(received) +
+                       " events");
+            if (!is_deadly && !is_plain) {
+                const std::lock_guard lock(mutex);
+                result.sound.emplace_back(sent_ms, status == 200 && received > 0);
             }
-            notes.line(std::string(is_deadly ? "deadly " : "sound ") + id + " got " + std::to_string(status) +
-                       " with " + std::to_string(received) + " events");
         });
         std::this_thread::sleep_until(begin + milliseconds(interval_ms) * (number + 1));
     }
@@ -394,33 +422,91 @@
     nodes.clear();
     engines.clear();
     platform.stop();
+    return result;
+}
+
+/** BUDGET: at most three requests with the part reach engines later than contactMs after the fifth crash. */
+int check_deadly_budget(record& notes, const deadly_scene& scene_to_play)
+{
+    constexpr std::size_t allowed = 3;
+    const deadly_result seen = play_deadly_part(notes, scene_to_play);
     std::size_t late = 0;
-    if (crashes.size() >= crashes_to_know) {
-        late = static_cast<std::size_t>(std::count_if(arrivals.begin(), arrivals.end(), [&](long long time) {
-            return time > crashes[crashes_to_know - 1] + contact_ms;
-        }));
-    }
-    const std::string result = "crashes " + std::to_string(crashes.size()) +
-                               ", requests with the part that reached engines later than 3 s after the fifth: " +
-                               std::to_string(late) + ", allowed " + std::to_string(allowed) +
-                               "; sound requests served whole " + std::to_string(sound_served) + " of " +
-                               std::to_string(sound_sent);
-    notes.line(result);
-    std::printf("%s\n", result.c_str());
-    if (sound_served < sound_sent / 4) {
+    if (seen.crashes.size() >= crashes_to_know) {
+        late = static_cast<std::size_t>(
+            std::count_if(seen.arrivals.begin(), seen.arrivals.end(), [&](long long time) {
+                return time > seen.crashes[crashes_to_know - 1] + contact_ms;
+            }));
+    }
+    const auto began = static_cast<std::size_t>(
+        std::count_if(seen.sound.begin(), seen.sound.end(), [](const auto& each) { return each.second; }));
+    const std::string text = "crashes " + std::to_string(seen.crashes.size()) +
+                             ", requests with the part that reached engines later than 3 s after the fifth: " +
+                             std::to_string(late) + ", allowed " + std::to_string(allowed) +
+                             "; sound requests that began " + std::to_string(began) + " of " +
+                             std::to_string(seen.sound.size());
+    notes.line(text);
+    std::printf("%s\n", text.c_str());
+    if (began < seen.sound.size() / 4) {
         throw cannot_run{"hardly anything was served"};
     }
     return late > allowed ? 1 : 0;
 }
 
-int deadly_part_unframed(record& notes)
+/** LOST: from twice contactMs after the fifth crash, or the last of fewer, while requests with the part still
+ * come, sound ones begin at least half as often as before. */
+int check_sound_begin(record& notes, const deadly_scene& scene_to_play)
+{
+    constexpr std::size_t least_requests = 20;
+    const deadly_result seen = play_deadly_part(notes, scene_to_play);
+    const bool has_crashes = !seen.crashes.empty();
+    const long long from = has_crashes
+                               ? seen.crashes[std::min(seen.crashes.size(), crashes_to_know) - 1] + 2 * contact_ms
+                               : 0;
+    std::size_t sent_before = 0;
+    std::size_t began_before = 0;
+    std::size_t sent_after = 0;
+    std::size_t began_after = 0;
+    for (const auto& [time, began] : seen.sound) {
+        if (seen.deadly_from == 0 || time < seen.deadly_from) {
+            ++sent_before;
+            began_before += began ? 1 : 0;
+        }
+        else if (has_crashes && time >= from && time <= seen.deadly_until) {
+            ++sent_after;
+            began_after += began ? 1 : 0;
+        }
+    }
+    const std::string text = "crashes " + std::to_string(seen.crashes.size()) + "; sound requests that began: " +
+                             std::to_string(began_before) + " of " + std::to_string(sent_before) +
+                             " before the first request with the part, " + std::to_string(began_after) + " of " +
+                             std::to_string(sent_after) + " from 6 s after the crashes";
+    notes.line(text);
+    std::printf("%s\n", text.c_str());
+    if (sent_before < least_requests || (has_trouble() && has_crashes && sent_after < least_requests)) {
+        throw cannot_run{"too few requests"};
+    }
+    const bool is_broken = sent_after > 0 && 2 * began_after * sent_before < began_before * sent_after;
+    return is_broken ? 1 : 0;
+}
+
+int deadly_part(record& notes)
+{
+    return check_deadly_budget(notes, {.is_framed = false});
+}
+
+int deadly_part_in_chunks(record& notes)
+{
+    return check_deadly_budget(notes, {.is_framed = true});
+}
+
+int refused_sound(record& notes)
 {
-    return deadly_part(notes, false);
+    return check_sound_begin(notes, {.is_framed = false, .crashes_before_head = true, .has_desk = true});
 }
 
-int deadly_part_framed(record& notes)
+int refused_sound_in_chunks(record& notes)
 {
-    return deadly_part(notes, true);
+    return check_sound_begin(notes, {.is_framed = true, .crashes_before_head = true, .has_desk = true});
 }
 
 } // namespace
@@ -430,8 +516,10 @@
     std::signal(SIGPIPE, SIG_IGN);
     const std::map<std::string, int (*)(record&)> cases{{"lost-spend", lost_spend},
                                                         {"lost-top-up", lost_top_up},
-                                                        {"deadly-part", deadly_part_unframed},
-                                                        {"deadly-part-in-chunks", deadly_part_framed}};
+                                                        {"deadly-part", deadly_part},
+                                                        {"deadly-part-in-chunks", deadly_part_in_chunks},
+                                                        {"refused-sound", refused_sound},
+                                                        {"refused-sound-in-chunks", refused_sound_in_chunks}};
     const auto chosen = count == 3 ? cases.find(arguments[1]) : cases.end();
     if (chosen == cases.end()) {
         std::fprintf(stderr, "usage: scene CASE RECORD\n");
--- a/review/scene/scene.cpp
+++ b/review/scene/scene.cpp
@@ -628,9 +628,24 @@
         const bool is_deadly =
             !this->setup.deadly_part.empty() &&
             call->header("x-samphireway-sw-prefix-hash").find(this->setup.deadly_part) != std::string::npos;
+        if (this->setup.is_plain) {
+            std::this_thread::sleep_for(milliseconds(20));
+            if (!from.write("HTTP/1.1 200 OK\r\nX-Samphireway-Sw-Attempt-Id: " + id +
+                            "\r\nX-Samphireway-Sw-Signature: s." + id +
+                            "\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nopen")) {
+                return;
+            }
+            continue;
+        }
         if (is_deadly) {
             this->setup.on_deadly_arrival();
         }
+        if (is_deadly && this->setup.crashes_before_head) {
+            std::this_thread::sleep_for(this->setup.event_gap);
+            this->front.crash();
+            this->setup.on_crash();
+            return;
+        }
         if (!from.write("HTTP/1.1 200 OK\r\nX-Samphireway-Sw-Attempt-Id: " + id +
                         "\r\nX-Samphireway-Sw-Signature: s." + id +
                         "\r\nX-Samphireway-Sw-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\n" +
@@ -814,6 +829,11 @@
 
 std::string request_text(const request& sent)
 {
+    if (sent.is_plain) {
+        return "GET " + sent.path + " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
+               "\r\nX-Samphireway-Sw-Deadline-Ms: " + std::to_string(sent.deadline_ms) +
+               "\r\nAuthorization: Bearer " + sent.key + "\r\n\r\n";
+    }
     const std::string body = "{}";
     return "POST " + sent.path + " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
            "\r\nX-Samphireway-Sw-Model: m\r\nX-Samphireway-Sw-Token-Usage: " +
@@ -835,7 +855,7 @@
     return count;
 }
 
-Json::Value make_config(int version, std::int64_t prepaid, int stride)
+Json::Value make_config(int version, std::int64_t prepaid, int stride, bool has_desk)
 {
     Json::Value route;
     route["name"] = "r-chat";
@@ -870,6 +890,21 @@
     result["routes"].append(route);
     result["services"].append(service);
     result["tenants"].append(tenant);
+    if (has_desk) {
+        Json::Value status = route;
+        status["name"] = "r-status";
+        status["pathPrefix"] = "/status/";
+        status["kind"] = "safe";
+        status["service"] = "desk";
+        status["sticky"] = false;
+        status.removeMember("gapAimMs");
+        result["routes"].append(status);
+        Json::Value desk = service;
+        desk["name"] = "desk";
+        desk["maxConnections"] = 100;
+        desk.removeMember("engine");
+        result["services"].append(desk);
+    }
     result["limits"]["headerBytes"] = 16384;
     result["limits"]["bodyBytes"] = 4194304;
     result["limits"]["headerTimeoutMs"] = 3000;
--- a/review/scene/scene.hh
+++ b/review/scene/scene.hh
@@ -160,6 +160,8 @@
         milliseconds event_gap{5};  ///< Between two events.
         bool is_framed = true;      ///< Whether answers come in chunks; else they end with their channel.
         std::string deadly_part;    ///< Part of a prompt that crashes the engine when it begins to write.
+        bool crashes_before_head = false; ///< Whether it crashes before the head of that answer is out.
+        bool is_plain = false;            ///< Whether it is a plain server, with short whole answers.
         std::function<void()> on_deadly_arrival = {};
         std::function<void()> on_crash = {};
     };
@@ -204,6 +206,7 @@
     int prompt_tokens = 0;
     int output_tokens = 0;
     int deadline_ms = 4000;
+    bool is_plain = false; ///< Of a plain service, without a prompt.
     std::string parts; ///< Of the prompt; two parts if empty, of which the last is the request's own.
 };
 
@@ -212,7 +215,8 @@
 /** Number of events in a stream's body. */
 int count_events(const std::string& body);
 
-Json::Value make_config(int version, std::int64_t prepaid, int stride);
+/** @param has_desk whether there is a plain service with a safe route beside the engines' */
+Json::Value make_config(int version, std::int64_t prepaid, int stride, bool has_desk = false);
 
 bool has_trouble();
 
