Add a scene of late removals to the review

Cause: a node holds removed entries for 2.2 s after each watch that failed. Done: scene late-removal of the review's stand-ins.

--- a/review/scene/main.cpp
+++ b/review/scene/main.cpp
@@ -509,6 +509,104 @@
     return check_sound_begin(notes, {.is_framed = true, .crashes_before_head = true, .has_desk = true});
 }
 
+/** The store cuts off watches that wait; then servers leave whose entries are removed. */
+int late_removal(record& notes)
+{
+    constexpr int drain_ms = 2000;
+    constexpr int longest_watch_ms = 1000;
+    // A server that leaves serves for drainMs and a little longer.
+    constexpr int exit_ms = drain_ms + 600;
+    constexpr int leaving_count = 6;
+    const workspace place;
+    store platform(notes);
+    platform.set("config", "main", make_config(1, 1'000'000'000, stride, true));
+    if (has_trouble()) {
+        platform.cut_watches_after(milliseconds(longest_watch_ms));
+    }
+    std::mutex mutex;
+    std::vector<long long> removed(leaving_count, 0);
+    std::vector<long long> last(leaving_count, 0);
+    int late = 0;
+    std::vector<std::unique_ptr<engine>> servers;
+    for (int number = 0; number < leaving_count + 2; ++number) {
+        engine::options setup{
+            .id = "i-desk-" + std::to_string(number), .service = "desk", .slots = 6, .is_plain = true};
+        setup.on_run = [&, number] {
+            const std::lock_guard lock(mutex);
+            if (number < leaving_count && removed[number] != 0) {
+                const long long after = notes.now_ms() - removed[number];
+                last[number] = after;
+                late += after > drain_ms ? 1 : 0;
+            }
+        };
+        servers.push_back(std::make_unique<engine>(notes, setup));
+        platform.set("servers", setup.id, servers.back()->entry("ready"));
+    }
+    std::vector<std::unique_ptr<node>> nodes;
+    for (int number = 1; number <= 3; ++number) {
+        nodes.push_back(
+            std::make_unique<node>("frontend-toto-" + std::to_string(number), platform.port(), place.path));
+        nodes.back()->start();
+    }
+    for (const auto& each : nodes) {
+        each->wait_ready(milliseconds(15000));
+    }
+    pause(4000);
+    std::atomic<bool> is_over{false};
+    std::atomic<int> sent_count{0};
+    std::atomic<int> lost_count{0};
+    std::vector<std::thread> requesters;
+    for (int number = 0; number < 9; ++number) {
+        requesters.emplace_back([&, number] {
+            for (int count = 0; !is_over; ++count) {
+                const auto connected = channel::connect(nodes[static_cast<std::size_t>(number) % 3]->front);
+                if (connected == nullptr) {
+                    continue;
+                }
+                request sent{.id = "r" + std::to_string(number) + "-" + std::to_string(count),
+                             .path = "/orders/1",
+                             .key = "key-alfa"};
+                sent.is_plain = true;
+                connected->write(request_text(sent));
+                const std::optional<message> got = connected->read(true);
+                ++sent_count;
+                if (!got || got->status() != 200) {
+                    ++lost_count;
+                    notes.line("order " + sent.id + " got " + std::to_string(got ? got->status() : 0));
+                }
+                pause(15);
+            }
+        });
+    }
+    pause(3000);
+    for (int number = 0; number < leaving_count; ++number) {
+        {
+            const std::lock_guard lock(mutex);
+            platform.remove("servers", "i-desk-" + std::to_string(number));
+            removed[number] = notes.now_ms();
+            notes.line("the entry of i-desk-" + std::to_string(number) + " is removed");
+        }
+        pause(exit_ms);
+        servers[number]->front.crash();
+        notes.line("i-desk-" + std::to_string(number) + " has left");
+        pause(2000);
+    }
+    is_over = true;
+    for (std::thread& each : requesters) {
+        each.join();
+    }
+    std::string text = "requests that reached servers later than 2 s after the removal: " + std::to_string(late) +
+                       "; last ones after ms:";
+    for (const long long time : last) {
+        text += " " + std::to_string(time);
+    }
+    text += "; orders not answered with success: " + std::to_string(lost_count) + " of " +
+            std::to_string(sent_count);
+    notes.line(text);
+    std::printf("%s\n", text.c_str());
+    return late > 0 ? 1 : 0;
+}
+
 } // namespace
 
 int main(int count, char** arguments)
@@ -519,6 +617,7 @@
                                                         {"deadly-part", deadly_part},
                                                         {"deadly-part-in-chunks", deadly_part_in_chunks},
                                                         {"refused-sound", refused_sound},
+                                                        {"late-removal", late_removal},
                                                         {"refused-sound-in-chunks", refused_sound_in_chunks}};
     const auto chosen = count == 3 ? cases.find(arguments[1]) : cases.end();
     if (chosen == cases.end()) {
--- a/review/scene/scene.cpp
+++ b/review/scene/scene.cpp
@@ -434,6 +434,12 @@
     this->notes.line("store: copy taken at revision " + std::to_string(this->held.revision));
 }
 
+void store::cut_watches_after(milliseconds time)
+{
+    const std::lock_guard lock(this->mutex);
+    this->longest_watch = time;
+}
+
 void store::go_away()
 {
     {
@@ -470,6 +476,9 @@
         }
         Json::Value body;
         const int status = this->answer(*call, body);
+        if (status == 0) {
+            return;
+        }
         int named_era = 0;
         {
             const std::lock_guard lock(this->mutex);
@@ -557,8 +566,9 @@
 
 int store::watch(const std::string& kind, std::int64_t after, milliseconds wait, Json::Value& body)
 {
-    const auto deadline = steady::now() + std::min(wait, milliseconds(30000));
     std::unique_lock lock(this->mutex);
+    const bool is_cut = wait >= this->longest_watch;
+    const auto deadline = steady::now() + std::min(wait, this->longest_watch);
     const int begun_in = this->era;
     if (after > this->held.revision) {
         return 410;
@@ -578,6 +588,9 @@
             break;
         }
     }
+    if (is_cut && body["events"].empty() && steady::now() >= deadline) {
+        return 0;
+    }
     body["at"] = static_cast<Json::Int64>(this->held.revision);
     return 200;
 }
@@ -622,6 +635,9 @@
             continue;
         }
         ++this->runs;
+        if (this->setup.on_run) {
+            this->setup.on_run();
+        }
         this->notes.line("engine " + this->setup.id + " runs " + id + " of tenant " +
                          call->header("x-samphireway-sw-tenant") + " with " +
                          call->header("x-samphireway-sw-token-usage"));
@@ -830,9 +846,9 @@
 std::string request_text(const request& sent)
 {
     if (sent.is_plain) {
-        return "GET " + sent.path + " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
+        return "POST " + sent.path + " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
                "\r\nX-Samphireway-Sw-Deadline-Ms: " + std::to_string(sent.deadline_ms) +
-               "\r\nAuthorization: Bearer " + sent.key + "\r\n\r\n";
+               "\r\nAuthorization: Bearer " + sent.key + "\r\nContent-Length: 0\r\n\r\n";
     }
     const std::string body = "{}";
     return "POST " + sent.path + " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
@@ -899,6 +915,10 @@
         status["sticky"] = false;
         status.removeMember("gapAimMs");
         result["routes"].append(status);
+        status["name"] = "r-orders";
+        status["pathPrefix"] = "/orders/";
+        status["kind"] = "unsafe";
+        result["routes"].append(status);
         Json::Value desk = service;
         desk["name"] = "desk";
         desk["maxConnections"] = 100;
--- a/review/scene/scene.hh
+++ b/review/scene/scene.hh
@@ -117,6 +117,8 @@
     void go_away();
     /** Comes back from the copy; `rewrite` writes what the operator and the engines write again. */
     void come_back(const std::function<void()>& rewrite);
+    /** Cuts off each watch that has waited for so long. */
+    void cut_watches_after(milliseconds time);
     int port() const { return this->front.port; }
     void stop();
 
@@ -146,6 +148,7 @@
     int era = 1;
     bool is_away = false;
     bool is_stopping = false;
+    milliseconds longest_watch{30000};
     server front;
 };
 
@@ -162,6 +165,7 @@
         std::string deadly_part;    ///< Part of a prompt that crashes the engine when it begins to write.
         bool crashes_before_head = false; ///< Whether it crashes before the head of that answer is out.
         bool is_plain = false;            ///< Whether it is a plain server, with short whole answers.
+        std::function<void()> on_run = {};
         std::function<void()> on_deadly_arrival = {};
         std::function<void()> on_crash = {};
     };
