--- a/review/scene/main.cpp
+++ b/review/scene/main.cc
@@ -240,10 +240,10 @@
         }
     }
     const int allowed = 5 + static_cast<int>(all.all_answers().size()) / 500;
-    const std::string result = "prepaid " + std::to_string(raised_prepaid) + ", delivered " +
-                               std::to_string(all.delivered()) + "; of " + std::to_string(counted) +
-                               " requests that fit, served " + std::to_string(served) + ", answered 402: " +
-                               std::to_string(denied) + ", allowed " + std::to_string(allowed);
+    const std::string result =
+        "prepaid " + std::to_string(raised_prepaid) + ", delivered " + std::to_string(all.delivered()) +
+        "; of " + std::to_string(counted) + " requests that fit, served " + std::to_string(served) +
+        ", answered 402: " + std::to_string(denied) + ", allowed " + std::to_string(allowed);
     notes.line(result);
     std::printf("%s\n", result.c_str());
     if (counted < 50) {
@@ -395,8 +395,8 @@
                          .prompt_tokens = 1000,
                          .output_tokens = output_tokens};
             sent.is_plain = is_plain;
-            sent.parts = "5c1e07a2:600," +
-                         (is_deadly ? deadly : "ab" + std::to_string(10 + number % 12)) + ":150," + id + ":250";
+            sent.parts = "5c1e07a2:600," + (is_deadly ? deadly : "ab" + std::to_string(10 + number % 12)) +
+                         ":150," + id + ":250";
             const long long sent_ms = notes.now_ms();
             int status = 0;
             int received = 0;
@@ -439,11 +439,11 @@
     }
     const auto began = static_cast<std::size_t>(
         std::count_if(seen.sound.begin(), seen.sound.end(), [](const auto& each) { return each.second; }));
-    const std::string text = "crashes " + std::to_string(seen.crashes.size()) +
-                             ", requests with the part that reached engines later than 3 s after the fifth: " +
-                             std::to_string(late) + ", allowed " + std::to_string(allowed) +
-                             "; sound requests that began " + std::to_string(began) + " of " +
-                             std::to_string(seen.sound.size());
+    const std::string text =
+        "crashes " + std::to_string(seen.crashes.size()) +
+        ", requests with the part that reached engines later than 3 s after the fifth: " +
+        std::to_string(late) + ", allowed " + std::to_string(allowed) + "; sound requests that began " +
+        std::to_string(began) + " of " + std::to_string(seen.sound.size());
     notes.line(text);
     std::printf("%s\n", text.c_str());
     if (began < seen.sound.size() / 4) {
@@ -459,9 +459,8 @@
     constexpr std::size_t least_requests = 20;
     const deadly_result seen = play_deadly_part(notes, scene_to_play);
     const bool has_crashes = !seen.crashes.empty();
-    const long long from = has_crashes
-                               ? seen.crashes[std::min(seen.crashes.size(), crashes_to_know) - 1] + 2 * contact_ms
-                               : 0;
+    const long long from =
+        has_crashes ? seen.crashes[std::min(seen.crashes.size(), crashes_to_know) - 1] + 2 * contact_ms : 0;
     std::size_t sent_before = 0;
     std::size_t began_before = 0;
     std::size_t sent_after = 0;
@@ -476,10 +475,11 @@
             began_after += began ? 1 : 0;
         }
     }
-    const std::string text = "crashes " + std::to_string(seen.crashes.size()) + "; sound requests that began: " +
-                             std::to_string(began_before) + " of " + std::to_string(sent_before) +
-                             " before the first request with the part, " + std::to_string(began_after) + " of " +
-                             std::to_string(sent_after) + " from 6 s after the crashes";
+    const std::string text = "crashes " + std::to_string(seen.crashes.size()) +
+                             "; sound requests that began: " + std::to_string(began_before) + " of " +
+                             std::to_string(sent_before) + " before the first request with the part, " +
+                             std::to_string(began_after) + " of " + std::to_string(sent_after) +
+                             " from 6 s after the crashes";
     notes.line(text);
     std::printf("%s\n", text.c_str());
     if (sent_before < least_requests || (has_trouble() && has_crashes && sent_after < least_requests)) {
@@ -595,8 +595,9 @@
     for (std::thread& each : requesters) {
         each.join();
     }
-    std::string text = "requests that reached servers later than 2 s after the removal: " + std::to_string(late) +
-                       "; last ones after ms:";
+    std::string text =
+        "requests that reached servers later than 2 s after the removal: " + std::to_string(late) +
+        "; last ones after ms:";
     for (const long long time : last) {
         text += " " + std::to_string(time);
     }
--- a/review/scene/scene.cpp
+++ b/review/scene/scene.cc
@@ -545,8 +545,8 @@
         return 404;
     }
     const std::int64_t held_revision = found->second["metadata"]["revision"].asInt64();
-    const std::int64_t expected = method == "DELETE" ? query_number(target, "revision")
-                                                     : sent["metadata"].get("revision", 0).asInt64();
+    const std::int64_t expected =
+        method == "DELETE" ? query_number(target, "revision") : sent["metadata"].get("revision", 0).asInt64();
     if (expected != 0 && expected != held_revision) {
         body = found->second;
         return 409;
@@ -712,7 +712,8 @@
     std::string text = read.str();
     for (const auto& [name, value] : values) {
         replace_all(text, "{{" + name + "|json}}", value);
-        replace_all(text, "{{" + name + "}}", value.front() == '"' ? value.substr(1, value.size() - 2) : value);
+        replace_all(text, "{{" + name + "}}",
+                    value.front() == '"' ? value.substr(1, value.size() - 2) : value);
         replace_all(text, "{{#" + name + "}}", "");
         const std::string end = "{{/" + name + "}}";
         const std::string absent = "{{^" + name + "}}";
@@ -751,7 +752,9 @@
     : id(id_to_use), front(reserve_port()), probes(reserve_port()), internal(reserve_port()),
       directory(directory_to_use)
 {
-    const auto address = [](int port) { return quoted("127.0.0.1:" + std::to_string(port)); };
+    const auto address = [](int port) {
+        return quoted("127.0.0.1:" + std::to_string(port));
+    };
     std::ofstream(this->directory + "/" + this->id + ".json")
         << fill_template({{"nodeName", quoted(this->id)},
                           {"zone", quoted("toto")},
@@ -846,17 +849,20 @@
 std::string request_text(const request& sent)
 {
     if (sent.is_plain) {
-        return "POST " + sent.path + " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
+        return "POST " + sent.path +
+               " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
                "\r\nX-Samphireway-Sw-Deadline-Ms: " + std::to_string(sent.deadline_ms) +
                "\r\nAuthorization: Bearer " + sent.key + "\r\nContent-Length: 0\r\n\r\n";
     }
     const std::string body = "{}";
-    return "POST " + sent.path + " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
+    return "POST " + sent.path +
+           " HTTP/1.1\r\nHost: ficu95.example\r\nX-Samphireway-Sw-Attempt-Id: " + sent.id +
            "\r\nX-Samphireway-Sw-Model: m\r\nX-Samphireway-Sw-Token-Usage: " +
            std::to_string(sent.prompt_tokens) + "," + std::to_string(sent.output_tokens) +
            "\r\nX-Samphireway-Sw-Prefix-Hash: " +
-           (sent.parts.empty() ? "5c1e07a2:" + std::to_string(sent.prompt_tokens - 250) + "," + sent.id + ":250"
-                               : sent.parts) +
+           (sent.parts.empty()
+                ? "5c1e07a2:" + std::to_string(sent.prompt_tokens - 250) + "," + sent.id + ":250"
+                : sent.parts) +
            "\r\nX-Samphireway-Sw-Deadline-Ms: " + std::to_string(sent.deadline_ms) +
            "\r\nAuthorization: Bearer " + sent.key + "\r\nContent-Length: " + std::to_string(body.size()) +
            "\r\n\r\n" + body;
--- a/review/scene/scene.hh
+++ b/review/scene/scene.hh
@@ -103,8 +103,8 @@
     std::thread acceptor;
 };
 
-/** The platform's store, as PROTOCOL.md tells it, with the drill of the store's pages: it can come back from a
- * copy of what it held earlier. */
+/** The platform's store, as PROTOCOL.md tells it, with the drill of the store's pages: it can come back from
+ * a copy of what it held earlier. */
 class store {
 public:
     explicit store(record& notes_to_use);
@@ -119,7 +119,10 @@
     void come_back(const std::function<void()>& rewrite);
     /** Cuts off each watch that has waited for so long. */
     void cut_watches_after(milliseconds time);
-    int port() const { return this->front.port; }
+    int port() const
+    {
+        return this->front.port;
+    }
     void stop();
 
 private:
@@ -159,10 +162,10 @@
         std::string id;
         std::string service;
         int slots = 64;
-        int events = 10;            ///< Of a stream.
-        milliseconds event_gap{5};  ///< Between two events.
-        bool is_framed = true;      ///< Whether answers come in chunks; else they end with their channel.
-        std::string deadly_part;    ///< Part of a prompt that crashes the engine when it begins to write.
+        int events = 10;           ///< Of a stream.
+        milliseconds event_gap{5}; ///< Between two events.
+        bool is_framed = true;     ///< Whether answers come in chunks; else they end with their channel.
+        std::string deadly_part;   ///< Part of a prompt that crashes the engine when it begins to write.
         bool crashes_before_head = false; ///< Whether it crashes before the head of that answer is out.
         bool is_plain = false;            ///< Whether it is a plain server, with short whole answers.
         std::function<void()> on_run = {};
@@ -211,7 +214,7 @@
     int output_tokens = 0;
     int deadline_ms = 4000;
     bool is_plain = false; ///< Of a plain service, without a prompt.
-    std::string parts; ///< Of the prompt; two parts if empty, of which the last is the request's own.
+    std::string parts;     ///< Of the prompt; two parts if empty, of which the last is the request's own.
 };
 
 std::string request_text(const request& sent);
