--- a/review/scene/main.cc
+++ b/review/scene/main.cc
@@ -513,15 +513,17 @@
 int late_removal(record& notes)
 {
     constexpr int drain_ms = 2000;
-    constexpr int longest_watch_ms = 1000;
+    // Nodes let a watch wait for two seconds, so about half of the watches are cut off.
+    constexpr int least_watch_ms = 100;
+    constexpr int longest_watch_ms = 4000;
     // A server that leaves serves for drainMs and a little longer.
-    constexpr int exit_ms = drain_ms + 600;
-    constexpr int leaving_count = 6;
+    constexpr int exit_ms = drain_ms + 450;
+    constexpr int leaving_count = 12;
     const workspace place;
     store platform(notes);
     platform.set("config", "main", make_config(1, 1'000'000'000, stride, true));
     if (has_trouble()) {
-        platform.cut_watches_after(milliseconds(longest_watch_ms));
+        platform.cut_watches(milliseconds(least_watch_ms), milliseconds(longest_watch_ms));
     }
     std::mutex mutex;
     std::vector<long long> removed(leaving_count, 0);
@@ -531,6 +533,7 @@
     for (int number = 0; number < leaving_count + 2; ++number) {
         engine::options setup{
             .id = "i-desk-" + std::to_string(number), .service = "desk", .slots = 6, .is_plain = true};
+        setup.work = milliseconds(60);
         setup.on_run = [&, number] {
             const std::lock_guard lock(mutex);
             if (number < leaving_count && removed[number] != 0) {
@@ -556,7 +559,7 @@
     std::atomic<int> sent_count{0};
     std::atomic<int> lost_count{0};
     std::vector<std::thread> requesters;
-    for (int number = 0; number < 9; ++number) {
+    for (int number = 0; number < 18; ++number) {
         requesters.emplace_back([&, number] {
             for (int count = 0; !is_over; ++count) {
                 const auto connected = channel::connect(nodes[static_cast<std::size_t>(number) % 3]->front);
@@ -589,7 +592,7 @@
         pause(exit_ms);
         servers[number]->front.crash();
         notes.line("i-desk-" + std::to_string(number) + " has left");
-        pause(2000);
+        pause(600);
     }
     is_over = true;
     for (std::thread& each : requesters) {
--- a/review/scene/scene.cc
+++ b/review/scene/scene.cc
@@ -434,10 +434,11 @@
     this->notes.line("store: copy taken at revision " + std::to_string(this->held.revision));
 }
 
-void store::cut_watches_after(milliseconds time)
+void store::cut_watches(milliseconds least, milliseconds most)
 {
     const std::lock_guard lock(this->mutex);
-    this->longest_watch = time;
+    this->least_watch = least;
+    this->longest_watch = most;
 }
 
 void store::go_away()
@@ -567,8 +568,10 @@
 int store::watch(const std::string& kind, std::int64_t after, milliseconds wait, Json::Value& body)
 {
     std::unique_lock lock(this->mutex);
-    const bool is_cut = wait >= this->longest_watch;
-    const auto deadline = steady::now() + std::min(wait, this->longest_watch);
+    const milliseconds longest(std::uniform_int_distribution<std::int64_t>(
+        this->least_watch.count(), this->longest_watch.count())(this->random));
+    const bool is_cut = wait > longest;
+    const auto deadline = steady::now() + std::min(wait, longest);
     const int begun_in = this->era;
     if (after > this->held.revision) {
         return 410;
@@ -645,7 +648,7 @@
             !this->setup.deadly_part.empty() &&
             call->header("x-samphireway-sw-prefix-hash").find(this->setup.deadly_part) != std::string::npos;
         if (this->setup.is_plain) {
-            std::this_thread::sleep_for(milliseconds(20));
+            std::this_thread::sleep_for(this->setup.work);
             if (!from.write("HTTP/1.1 200 OK\r\nX-Samphireway-Sw-Attempt-Id: " + id +
                             "\r\nX-Samphireway-Sw-Signature: s." + id +
                             "\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nopen")) {
--- a/review/scene/scene.hh
+++ b/review/scene/scene.hh
@@ -13,6 +13,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <sys/types.h>
@@ -117,8 +118,8 @@
     void go_away();
     /** Comes back from the copy; `rewrite` writes what the operator and the engines write again. */
     void come_back(const std::function<void()>& rewrite);
-    /** Cuts off each watch that has waited for so long. */
-    void cut_watches_after(milliseconds time);
+    /** Cuts off each watch that waits longer than a random time between these two. */
+    void cut_watches(milliseconds least, milliseconds most);
     int port() const
     {
         return this->front.port;
@@ -151,7 +152,9 @@
     int era = 1;
     bool is_away = false;
     bool is_stopping = false;
+    milliseconds least_watch{30000};
     milliseconds longest_watch{30000};
+    std::mt19937 random{48};
     server front;
 };
 
@@ -168,6 +171,7 @@
         std::string deadly_part;   ///< Part of a prompt that crashes the engine when it begins to write.
         bool crashes_before_head = false; ///< Whether it crashes before the head of that answer is out.
         bool is_plain = false;            ///< Whether it is a plain server, with short whole answers.
+        milliseconds work{20};            ///< Of a plain server's request.
         std::function<void()> on_run = {};
         std::function<void()> on_deadly_arrival = {};
         std::function<void()> on_crash = {};
