Store deposits again that a store which comes back from a copy has lost

With a copy older than the ledger object requests get 503 for good. Cause: set_deposits counts a deposit as stored until the totals change; that is true for one generation of the store only, and calls by key did not pass the generation on. Change: reads and writes by key name the generation; generation_watch learns of a new one from whichever answer or relay names it first; deposits are then stored again, and no budget counts as exhausted until a ledger is read that holds them.

--- a/modules/budget/grants/grant_pool.cpp
+++ b/modules/budget/grants/grant_pool.cpp
@@ -129,16 +129,18 @@
                                                                  core::steady_time now)
 {
     plan_account& account = this->account_of(request.plan);
+    const core::steady_time known_since =
+        std::max<core::steady_time>(request.since - exhausted_state_lifetime, this->trusted_since);
     std::optional<core::result<reservation>> outcome;
     core::result<reservation> reserved = this->reserve(request.plan, request.wanted);
     const std::lock_guard lock(account.mutex);
     if (reserved) {
         outcome = std::move(reserved);
     }
-    else if (account.is_missing(request.since - exhausted_state_lifetime)) {
+    else if (account.is_missing(known_since)) {
         outcome = tl::unexpected(missing(request.plan));
     }
-    else if (account.is_exhausted(request.wanted, request.since - exhausted_state_lifetime)) {
+    else if (account.is_exhausted(request.wanted, known_since)) {
         outcome = tl::unexpected(exhausted(request.plan));
     }
     else if (now >= request.deadline) {
@@ -277,6 +279,16 @@
     }
 }
 
+void grant_pool::doubt_ledgers()
+{
+    this->trusted_since = core::steady_time::max();
+}
+
+void grant_pool::trust_ledgers(core::steady_time since)
+{
+    this->trusted_since = since;
+}
+
 void grant_pool::count_calls(std::uint64_t calls_made)
 {
     this->calls.count(calls_made);
--- a/modules/budget/grants/grant_pool.h
+++ b/modules/budget/grants/grant_pool.h
@@ -147,6 +147,15 @@
     */
     void finish_update(const shard_update& update, const core::error& failure);
 
+    /**
+        Records that the ledgers were restored from a backup, which may lack deposits: until
+        `trust_ledgers` no account is known to be exhausted or missing.
+    */
+    void doubt_ledgers();
+
+    /** Records that ledgers read at a time or later hold all deposits. */
+    void trust_ledgers(core::steady_time since);
+
     /** Counts the platform calls of updates against the call limits. Control thread only. */
     void count_calls(std::uint64_t calls);
 
@@ -190,6 +199,8 @@
     call_limiter calls;                          ///< Control thread only.
     std::atomic<bool> is_draining = false;
     std::atomic<core::steady_time::rep> last_collected_at = 0;
+    /** Start of the oldest ledger call whose outcome shows all deposits. */
+    std::atomic<core::steady_time> trusted_since{core::steady_time::min()};
     std::atomic<std::uint64_t> last_reservation_number = 0;
 };
 
--- a/modules/configuration/editing/editor.cpp
+++ b/modules/configuration/editing/editor.cpp
@@ -69,13 +69,13 @@
 
 core::result<platform::object> editor::load(const std::string& key) const
 {
-    core::result<std::optional<platform::object>> found = this->store.get(key);
-    if (!found) {
-        return tl::unexpected(found.error());
+    core::result<platform::object_reading> reading = this->store.get(key);
+    if (!reading) {
+        return tl::unexpected(reading.error());
     }
     platform::object base{.key = key, .version = 0, .value = Json::Value(Json::objectValue)};
-    if (*found) {
-        base = std::move(**found);
+    if (reading->found) {
+        base = std::move(*reading->found);
     }
     // An object that was removed from the platform, or restored there to an older generation, is
     // rebuilt from the one in force at this node: nodes accept higher generations only.
--- a/modules/escrow/ledger/ledger_client.cpp
+++ b/modules/escrow/ledger/ledger_client.cpp
@@ -15,15 +15,16 @@
 core::result<void> ledger_client::refresh(const platform::object_store& store)
 {
     ++this->call_count;
-    core::result<std::optional<platform::object>> found = store.get(this->key);
-    if (!found) {
-        return tl::unexpected(found.error());
+    const core::result<platform::object_reading> reading = store.get(this->key);
+    if (!reading) {
+        return tl::unexpected(reading.error());
     }
-    core::result<ledger> parsed = ledger_from_json(*found ? (*found)->value : Json::Value());
+    const std::optional<platform::object>& found = reading->found;
+    core::result<ledger> parsed = ledger_from_json(found ? found->value : Json::Value());
     if (!parsed) {
         return tl::unexpected(parsed.error());
     }
-    this->set_latest(*found ? (*found)->version : 0, std::move(*parsed));
+    this->set_latest(found ? found->version : 0, std::move(*parsed));
     return {};
 }
 
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -82,9 +82,9 @@
 {
     platform::object_store store = this->options.store;
     store.get = [this, call = this->options.store.get](const std::string& key) {
-        core::result<std::optional<platform::object>> found = call(key);
-        this->is_reachable = found.has_value();
-        return found;
+        core::result<platform::object_reading> reading = call(key);
+        this->is_reachable = reading.has_value();
+        return reading;
     };
     store.put = [this, call = this->options.store.put](const std::string& key, const Json::Value& value,
                                                        platform::object_version expected) {
@@ -106,6 +106,14 @@
     this->tick(clock::now());
 }
 
+void budget_supply::on_restore(core::steady_time now)
+{
+    this->account.doubt_ledgers();
+    this->are_totals_stored = false;
+    this->next_store_at = now;
+    this->tick(now);
+}
+
 void budget_supply::tick(core::steady_time now)
 {
     this->controller.tick();
@@ -123,6 +131,9 @@
         this->options.run_control([this, stored] {
             this->is_storing = false;
             if (stored) {
+                if (this->are_totals_stored) {
+                    this->account.trust_ledgers(clock::now());
+                }
                 this->options.on_change();
                 return;
             }
--- a/modules/gateway/control/budget_supply.h
+++ b/modules/gateway/control/budget_supply.h
@@ -46,6 +46,10 @@
      * change, nothing is. */
     void set_deposits(deposit_update update, core::steady_time not_before);
 
+    /** Records that the object API was restored from a backup, which may lack the deposits, so that they are
+     * stored again. Until then a budget is not known to be exhausted. */
+    void on_restore(core::steady_time now);
+
     /** Starts the draws, settlements and deposit writes whose time has come. Call this periodically. */
     void tick(core::steady_time now);
 
--- a/modules/gateway/control/fleet_view.cpp
+++ b/modules/gateway/control/fleet_view.cpp
@@ -193,6 +193,7 @@
 
 void fleet_view::accept(feed_kind kind, const followed_batch& received)
 {
+    this->options.on_generation(received.batch.generation);
     const std::optional<platform::store_position> before = this->feeds[kind].position();
     if (!this->feeds[kind].accept(received)) {
         this->log_ignored(kind, received);
--- a/modules/gateway/control/fleet_view.h
+++ b/modules/gateway/control/fleet_view.h
@@ -39,6 +39,8 @@
     /** Receives the first list of nodes after the object API was restored from a backup. Called on the
      * control thread. */
     std::function<void(const followed_batch& members)> on_restore;
+    /** Receives the generation of each batch, whoever sent it. Called on the control thread. */
+    std::function<void(std::uint64_t generation)> on_generation;
     core::clock time = {};
 };
 
--- a/modules/gateway/process/gateway_node.cpp
+++ b/modules/gateway/process/gateway_node.cpp
@@ -4,6 +4,7 @@
 #include "gateway/budget/loan_client.h"
 #include "gateway/control/budget_supply.h"
 #include "gateway/control/fleet_view.h"
+#include "gateway/control/generation_watch.h"
 #include "gateway/control/store_counters.h"
 #include "gateway/exchange/gateway_context.h"
 #include "gateway/http/front_listener.h"
@@ -72,7 +73,10 @@
 class gateway_node::implementation {
 public:
     explicit implementation(gateway_node_options options_to_use)
-        : options(std::move(options_to_use)), store(this->store_calls.count(this->options.store)),
+        : options(std::move(options_to_use)), generations([this](std::uint64_t generation) {
+              this->control.post([this, generation] { this->on_restore(generation); });
+          }),
+          store(this->generations.observe(this->store_calls.count(this->options.store))),
           context{.io = this->io,
                   .availability_zone = this->options.settings.availability_zone,
                   .node = this->options.settings.id,
@@ -379,6 +383,7 @@
                         this->register_node();
                     }
                 },
+            .on_generation = [this](std::uint64_t generation) { this->generations.record(generation); },
         };
     }
 
@@ -433,6 +438,14 @@
         });
     }
 
+    /** Stores again what a restored object API may have lost and no list shows. */
+    void on_restore(std::uint64_t generation)
+    {
+        core::log_event(core::log_level::warning, "store_restored",
+                        {{"generation", static_cast<long long>(generation)}});
+        this->supply.on_restore(clock::now());
+    }
+
     /** Brings the deposits of the configuration and the ends of processes into the ledgers. Only the nodes
      * that draw do so, one after the other, so that mostly one of them writes. */
     void update_deposits()
@@ -628,6 +641,7 @@
 
     const gateway_node_options options;
     store_counters store_calls;
+    generation_watch generations;
     const platform::object_store store;
     asio::io_context io{1};
     gateway_context context;
--- a/modules/moves/control/record_store.cpp
+++ b/modules/moves/control/record_store.cpp
@@ -14,20 +14,21 @@
                                        const move_record& record)
 {
     const std::string key = record_key(move_id);
-    core::result<std::optional<platform::object>> found = store.get(key);
-    if (!found) {
-        return tl::unexpected(found.error());
+    core::result<platform::object_reading> reading = store.get(key);
+    if (!reading) {
+        return tl::unexpected(reading.error());
     }
+    std::optional<platform::object>& stored_object = reading->found;
     for (int attempt = 0; attempt < maximum_attempts; ++attempt) {
         move_record merged = record;
-        if (*found) {
-            const core::result<move_record> stored = move_record_from_json((*found)->value);
+        if (stored_object) {
+            const core::result<move_record> stored = move_record_from_json(stored_object->value);
             merged = stored ? merge(*stored, record) : record;
             if (stored && merged == *stored) {
                 return merged;
             }
         }
-        const platform::object_version version = *found ? (*found)->version : 0;
+        const platform::object_version version = stored_object ? stored_object->version : 0;
         const core::result<platform::put_outcome> written = store.put(key, to_json(merged), version);
         if (!written) {
             return tl::unexpected(written.error());
@@ -35,7 +36,7 @@
         if (written->applied) {
             return merged;
         }
-        *found = written->current;
+        stored_object = written->current;
     }
     return core::failure(core::error_code::conflict,
                          "other writers changed the record of the move during every attempt to store it");
--- a/modules/node/membership/peer_service.cpp
+++ b/modules/node/membership/peer_service.cpp
@@ -334,9 +334,9 @@
 void peer_service::read_object(membership::peer_client& client, const configuration::due_read& read)
 {
     if (read.peer.empty()) {
-        const core::result<std::optional<platform::object>> found = this->options.store.get(read.key);
-        if (found && *found) {
-            this->distributor.receive(read.key, (*found)->value, "", steady::now());
+        const core::result<platform::object_reading> reading = this->options.store.get(read.key);
+        if (reading && reading->found) {
+            this->distributor.receive(read.key, reading->found->value, "", steady::now());
         }
         return;
     }
--- a/modules/platform/objects/http_platform.cpp
+++ b/modules/platform/objects/http_platform.cpp
@@ -95,7 +95,7 @@
         return core::parse_json(response->body);
     }
 
-    core::result<std::optional<object>> get(const std::string& key)
+    core::result<object_reading> get(const std::string& key)
     {
         httplib::Request request;
         request.method = "GET";
@@ -105,13 +105,13 @@
             return tl::unexpected(response.error());
         }
         if (response->status == status_not_found) {
-            return std::optional<object>{};
+            return object_reading{};
         }
         core::result<Json::Value> json = core::parse_json(response->body);
         if (!json) {
             return tl::unexpected(json.error());
         }
-        return std::optional<object>(parse_object(*json));
+        return object_reading{.found = parse_object(*json)};
     }
 
     core::result<put_outcome> write(httplib::Request request, const std::string& key, object_version expected)
--- a/modules/platform/objects/object_store.h
+++ b/modules/platform/objects/object_store.h
@@ -57,11 +57,18 @@
     return key.substr(key.find('/') + 1);
 }
 
+/** Result of a read of one object. @see object_store::get */
+struct object_reading {
+    std::optional<object> found;  ///< Empty when the object does not exist.
+    std::uint64_t generation = 0; ///< Generation of the API that answered; zero if it names none.
+};
+
 /** Result of a conditional write. @see object_store::put */
 struct put_outcome {
     bool applied = false;          ///< False on a version conflict.
     object_version version = 0;    ///< Version of the written object, when applied.
     std::optional<object> current; ///< On a conflict, the stored object; empty when it does not exist.
+    std::uint64_t generation = 0;  ///< Generation of the API that answered; zero if it names none.
 };
 
 /** Objects returned by a list or a watch. @see object_store::watch */
@@ -90,8 +97,8 @@
     @see http_platform::make_object_store
 */
 struct object_store {
-    /** Reads one object; returns an empty optional when it does not exist. */
-    std::function<core::result<std::optional<object>>(const std::string& key)> get;
+    /** Reads one object. */
+    std::function<core::result<object_reading>(const std::string& key)> get;
 
     /** Writes an object if its version equals `expected`; zero means that it must not exist. */
     std::function<core::result<put_outcome>(const std::string& key, const Json::Value& value,
--- a/modules/traffic/idempotency/idempotency_store.cpp
+++ b/modules/traffic/idempotency/idempotency_store.cpp
@@ -41,14 +41,15 @@
 
 core::result<std::optional<service_answer>> idempotency_store::find(const idempotent_call& call) const
 {
-    const core::result<std::optional<platform::object>> found = this->objects.get(object_key(call));
-    if (!found) {
-        return tl::unexpected(record_failure(found.error()));
+    const core::result<platform::object_reading> reading = this->objects.get(object_key(call));
+    if (!reading) {
+        return tl::unexpected(record_failure(reading.error()));
     }
-    if (!*found || (*found)->value.isNull()) {
+    const std::optional<platform::object>& found = reading->found;
+    if (!found || found->value.isNull()) {
         return std::nullopt;
     }
-    core::result<claim_outcome> outcome = this->evaluate_record(call, **found, "");
+    core::result<claim_outcome> outcome = this->evaluate_record(call, *found, "");
     if (!outcome) {
         return tl::unexpected(outcome.error());
     }
@@ -113,11 +114,11 @@
         }
         else {
             last = written.error();
-            const core::result<std::optional<platform::object>> found = this->objects.get(key);
-            if (!found) {
-                return tl::unexpected(record_failure(found.error()));
+            const core::result<platform::object_reading> reading = this->objects.get(key);
+            if (!reading) {
+                return tl::unexpected(record_failure(reading.error()));
             }
-            current = *found;
+            current = reading->found;
         }
         if (!current) {
             expected = 0;
--- a/tests/configuration/editor_test.cpp
+++ b/tests/configuration/editor_test.cpp
@@ -135,7 +135,7 @@
     fixture.editor.apply(location, parse(R"({"workspace": "two"})"), {});
     fixture.update_repository();
     const auto stored = fixture.store.hooks().get(location.key);
-    fixture.store.hooks().remove(location.key, (*stored)->version);
+    fixture.store.hooks().remove(location.key, stored->found->version);
     const auto again = fixture.editor.apply(location, parse(R"({"workspace": "three"})"), {.expected = 2});
     cr_assert(again.has_value());
     cr_assert_eq(again->in_force, 3);
--- a/tests/support/configuration_fleet.h
+++ b/tests/support/configuration_fleet.h
@@ -149,9 +149,9 @@
             if (!this->is_platform_up(node)) {
                 return;
             }
-            const auto found = this->store.hooks().get(read.key);
-            if (found && *found) {
-                node.distributor->receive(read.key, (*found)->value, "", this->now);
+            const auto reading = this->store.hooks().get(read.key);
+            if (reading && reading->found) {
+                node.distributor->receive(read.key, reading->found->value, "", this->now);
             }
             return;
         }
--- a/tests/support/fake_object_store.h
+++ b/tests/support/fake_object_store.h
@@ -56,6 +56,23 @@
                       [&prefix](const auto& entry) { return entry.first.starts_with(prefix); });
     }
 
+    /** Keeps a copy of what is stored now. */
+    void copy()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->copied_objects = this->objects;
+        this->copied_revision = this->revision;
+    }
+
+    /** Comes back from the copy, under a higher generation. Revisions since then are given out again. */
+    void return_from_copy()
+    {
+        const std::lock_guard lock(this->mutex);
+        this->objects = this->copied_objects;
+        this->revision = this->copied_revision;
+        ++this->generation;
+    }
+
     /** Returns an object without counting the call in `calls`. */
     std::optional<platform::object> peek(const std::string& key)
     {
@@ -76,7 +93,7 @@
         return core::failure(core::error_code::platform_unavailable, "fault of the fake", run);
     }
 
-    core::result<std::optional<platform::object>> get(const std::string& key)
+    core::result<platform::object_reading> get(const std::string& key)
     {
         const std::lock_guard lock(this->mutex);
         ++this->calls;
@@ -84,7 +101,11 @@
             return unavailable(core::verdict::not_run);
         }
         const auto found = this->objects.find(key);
-        return found == this->objects.end() ? std::optional<platform::object>{} : found->second;
+        platform::object_reading reading{.generation = this->generation};
+        if (found != this->objects.end()) {
+            reading.found = found->second;
+        }
+        return reading;
     }
 
     core::result<platform::put_outcome> put(const std::string& key, const Json::Value& value,
@@ -107,7 +128,7 @@
         const auto found = this->objects.find(key);
         const platform::object_version in_force = found == this->objects.end() ? 0 : found->second.version;
         if (in_force != expected) {
-            platform::put_outcome conflict;
+            platform::put_outcome conflict{.generation = this->generation};
             if (found != this->objects.end()) {
                 conflict.current = found->second;
             }
@@ -122,7 +143,8 @@
             --this->lose_answers;
             return unavailable(core::verdict::may_have_run);
         }
-        return platform::put_outcome{.applied = true, .version = this->revision, .current = {}};
+        return platform::put_outcome{
+            .applied = true, .version = this->revision, .current = {}, .generation = this->generation};
     }
 
     core::result<platform::watch_batch> list(const std::string& prefix, platform::object_version after)
@@ -132,7 +154,8 @@
         if (this->is_down) {
             return unavailable(core::verdict::not_run);
         }
-        platform::watch_batch batch{.revision = this->revision, .changed = {}};
+        platform::watch_batch batch{
+            .revision = this->revision, .changed = {}, .generation = this->generation};
         for (const auto& [key, object] : this->objects) {
             if (key.starts_with(prefix) && object.version > after) {
                 batch.changed.push_back(object);
@@ -145,6 +168,9 @@
     std::map<std::string, platform::object> objects;
     std::vector<delayed_write> delayed;
     platform::object_version revision = 0;
+    std::uint64_t generation = 1;
+    std::map<std::string, platform::object> copied_objects;
+    platform::object_version copied_revision = 0;
 };
 
 } // namespace samphireway::testing
--- a/tests/support/move_fleet.cpp
+++ b/tests/support/move_fleet.cpp
@@ -305,12 +305,12 @@
 void move_fleet::record_history()
 {
     const bool was_down = std::exchange(this->store.is_down, false);
-    const auto found = this->store.hooks().get(moves::record_key("m"));
+    const auto reading = this->store.hooks().get(moves::record_key("m"));
     this->store.is_down = was_down;
-    if (!found || !*found) {
+    if (!reading || !reading->found) {
         return;
     }
-    const auto record = moves::move_record_from_json((*found)->value);
+    const auto record = moves::move_record_from_json(reading->found->value);
     if (record && (this->result.history.empty() ||
                    moves::to_json(this->result.history.back()) != moves::to_json(*record))) {
         this->result.history.push_back(*record);
