Take a watch that is cut off while it waits for no outage of the store

Cause: each failed watch counted as the loss of the store and the next answer as its return, after which removals are held for 2.2 s. Change: the call that follows a cut watch at once decides; the contact is the node's with the store, over all lists and relays (contact_chain), and is interrupted by an absence of more than 1 s. A 410 is an answer. The first list after a restore holds removals itself.

--- a/modules/gateway/control/fleet_view.cpp
+++ b/modules/gateway/control/fleet_view.cpp
@@ -104,11 +104,14 @@
             this->contacts.record(node, this->options.time.steady());
         }
     };
-    result.on_batch = [this](feed_kind kind, const followed_batch& batch) {
-        this->accept(kind, batch);
-    };
     result.on_contact = [this](feed_kind kind, const store_contact& contact) {
-        this->feeds[kind].record_contact(contact);
+        this->store_contacts.record_contact({.from = contact.connected_since, .until = contact.answered_at});
+        this->feeds[kind].record_contact(
+            {.answered_at = contact.answered_at, .connected_since = *this->store_contacts.connected_since()});
+    };
+    result.on_batch = [this](feed_kind kind, followed_batch batch) {
+        batch.connected_since = this->store_contacts.connected_since();
+        this->accept(kind, batch);
     };
     result.time = this->options.time;
     return result;
@@ -138,6 +141,10 @@
                     this->on_store_batch(kind, std::move(received));
                 });
             },
+        .on_cut =
+            [this, kind](core::steady_time from, core::steady_time until) {
+                this->options.run_control([this, kind, from, until] { this->on_cut(kind, from, until); });
+            },
         .on_failure =
             [this, kind](const core::error& failure) {
                 this->options.run_control([this, kind, failure] { this->on_store_failure(kind, failure); });
@@ -166,21 +173,30 @@
 {
     const core::steady_time now = this->options.time.steady();
     source_state& source = this->sources[kind];
-    const bool is_first = source.connected_since == core::steady_time{};
-    if (is_first || source.is_lost) {
-        source.connected_since = now;
-    }
+    this->store_contacts.record_call({.from = received.asked_at, .until = now});
+    source.is_answered = true;
     if (source.is_lost) {
         source.is_lost = false;
         core::log_event(core::log_level::info, "object_api_regained", {{"kind", to_string(kind)}});
     }
-    received.connected_since = source.connected_since;
+    received.connected_since = this->store_contacts.connected_since();
     this->accept(kind, received);
-    this->feeds[kind].record_contact({.answered_at = now, .connected_since = source.connected_since});
+    this->feeds[kind].record_contact({.answered_at = now, .connected_since = *received.connected_since});
+}
+
+void fleet_view::on_cut(feed_kind kind, core::steady_time from, core::steady_time until)
+{
+    core::log_event(core::log_level::info, "watch_cut_off", {{"kind", to_string(kind)}});
+    this->store_contacts.record_call({.from = from, .until = until});
 }
 
 void fleet_view::on_store_failure(feed_kind kind, const core::error& failure)
 {
+    if (failure.code == core::error_code::history_gone) {
+        core::log_event(core::log_level::info, "history_gone", {{"kind", to_string(kind)}});
+        return; // An answer: the object API is in reach.
+    }
+    this->store_contacts.record_failure();
     source_state& source = this->sources[kind];
     if (!source.is_lost) {
         core::log_event(core::log_level::warning, "object_api_lost",
@@ -318,12 +334,12 @@
 void fleet_view::update_connection()
 {
     const bool is_now_connected = this->is_connected();
-    const std::optional<store_contact>& contact = this->feeds[feed_kind::upstreams].contact();
+    const std::optional<core::steady_time>& since = this->store_contacts.connected_since();
     if (this->was_connected && !is_now_connected) {
         this->upstreams.set_disconnected(this->options.time.steady());
     }
-    else if (is_now_connected && contact) {
-        this->upstreams.set_connected(contact->connected_since);
+    else if (is_now_connected && since) {
+        this->upstreams.set_connected(*since);
     }
     this->was_connected = is_now_connected;
     const core::steady_time now = this->options.time.steady();
@@ -343,7 +359,7 @@
 {
     const source_state& source = this->sources[feed_kind::configuration];
     const bool watches = this->is_relay || !this->subscription.is_current();
-    return watches && !source.is_lost && source.connected_since != core::steady_time{};
+    return watches && !source.is_lost && source.is_answered;
 }
 
 bool fleet_view::is_connected() const
--- a/modules/gateway/control/fleet_view.h
+++ b/modules/gateway/control/fleet_view.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/control/configuration_tracker.h"
+#include "gateway/control/contact_chain.h"
 #include "gateway/control/member_tracker.h"
 #include "gateway/control/object_follower.h"
 #include "gateway/control/upstream_tracker.h"
@@ -82,8 +83,8 @@
     /** One kind of objects: its follower and what both threads of it share. */
     struct source_state {
         std::unique_ptr<object_follower> follower;
-        bool is_lost = false; ///< Whether the follower's last call failed.
-        core::steady_time connected_since;
+        bool is_lost = false;     ///< Whether the follower's last call failed.
+        bool is_answered = false; ///< Whether a call of the follower was ever answered.
         std::mutex mutex;
         std::optional<platform::store_position> known_position; ///< Guarded by the mutex.
         bool holds_partial_list = false;                        ///< Guarded by the mutex.
@@ -93,6 +94,7 @@
     void make_follower(feed_kind kind, const std::string& prefix);
     follower_pace pace_of(feed_kind kind) const;
     void on_store_batch(feed_kind kind, followed_batch received);
+    void on_cut(feed_kind kind, core::steady_time from, core::steady_time until);
     void on_store_failure(feed_kind kind, const core::error& failure);
     void accept(feed_kind kind, const followed_batch& received);
     void log_ignored(feed_kind kind, const followed_batch& received) const;
@@ -111,6 +113,7 @@
     rollout_tracker rollouts;
     per_feed<object_feed> feeds;
     contact_book contacts;
+    contact_chain store_contacts; ///< This node's own contact with the object API.
     relay_hub relay{this->feeds, this->contacts};
     relay_subscription subscription;
     per_feed<source_state> sources;
--- a/modules/gateway/control/object_follower.cpp
+++ b/modules/gateway/control/object_follower.cpp
@@ -11,6 +11,8 @@
 constexpr std::chrono::milliseconds confirming_wait{1};
 // Pause before a list is tried again that could not be read to its end; changes are followed meanwhile.
 constexpr std::chrono::milliseconds partial_list_interval{10000};
+// A watch that fails later than this after its wait was not cut off: the object API was silent.
+constexpr std::chrono::milliseconds answer_margin{300};
 
 } // namespace
 
@@ -66,8 +68,10 @@
 void object_follower::follow_once()
 {
     const follower_pace pace = this->options.pace();
+    this->asked_at = std::chrono::steady_clock::now();
     core::result<followed_batch> next = this->read_next(pace);
     if (next) {
+        next->asked_at = this->asked_at;
         const bool is_list = next->is_full_list || next->is_partial_list;
         this->must_list = false;
         this->must_confirm = false;
@@ -85,6 +89,14 @@
         return;
     }
     this->must_confirm = true;
+    const core::steady_time now = std::chrono::steady_clock::now();
+    if (this->was_cut(next.error(), now)) {
+        this->options.on_cut(this->asked_at, now);
+        // Where every watch is cut off at once, the calls must not follow each other without a pause.
+        const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - this->asked_at);
+        this->pause(std::max(this->options.initial_retry_delay - waited, std::chrono::milliseconds(0)));
+        return;
+    }
     this->options.on_failure(next.error());
     if (next.error().code == core::error_code::history_gone) {
         this->prepare_list(pace);
@@ -93,6 +105,13 @@
     this->wait_before_retry(pace);
 }
 
+bool object_follower::was_cut(const core::error& failure, core::steady_time now) const
+{
+    const bool is_refused =
+        failure.code == core::error_code::history_gone || failure.code == core::error_code::rate_limited;
+    return this->watch_until && now < *this->watch_until + answer_margin && !is_refused;
+}
+
 void object_follower::prepare_list(const follower_pace& pace)
 {
     this->must_list = true;
@@ -110,6 +129,7 @@
 
 core::result<followed_batch> object_follower::read_next(const follower_pace& pace)
 {
+    this->watch_until.reset();
     // The control thread may not have applied the last batch yet.
     const std::optional<platform::store_position> known =
         this->must_list ? std::nullopt : std::max(this->options.known_position(), this->received_position);
@@ -120,6 +140,9 @@
     // The first call after a failure or a sleep does not wait for changes, so that contact is known at once.
     // Else it would be dated by the next change, whose removals would then be held as after an outage.
     const std::chrono::milliseconds wait = this->must_confirm ? confirming_wait : pace.watch_wait;
+    if (known && !this->must_confirm) {
+        this->watch_until = this->asked_at + wait;
+    }
     core::result<platform::watch_batch> batch =
         known ? this->options.store.watch(this->options.prefix, known->revision,
                                           std::chrono::steady_clock::now() + wait)
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -25,6 +25,7 @@
     platform::object_version after{}; ///< Revision after which the batch contains every change.
     /** Start of the sender's uninterrupted contact with the object API. Empty if unknown. */
     std::optional<core::steady_time> connected_since = std::nullopt;
+    core::steady_time asked_at; ///< Start of the call that the object API answered with the batch.
     /** Who sent the batch: the object API, or the id of a relay. For logs. */
     std::string source = "object_api";
 };
@@ -49,6 +50,10 @@
     };
     std::function<follower_pace()> pace;          ///< Called before each call, on the follower's thread.
     std::function<void(followed_batch)> on_batch; ///< Called on the follower's thread.
+    /** Receives the times between which a watch waited that was cut off. Called on the follower's thread. */
+    std::function<void(core::steady_time from, core::steady_time until)> on_cut = [](core::steady_time,
+                                                                                     core::steady_time) {
+    };
     std::function<void(const core::error&)> on_failure; ///< Called on the follower's thread.
 };
 
@@ -57,9 +62,10 @@
     active.
 
     A watch starts from the revision that the node knows, whoever it has it from. After a failed call the
-    follower resumes from there. It lists the objects again when the store no longer keeps the changes
-    since that revision or has been restored from a backup, and from time to time after a list that could not
-    be read to its end.
+    follower resumes from there. The object API may cut off a watch that waits; that counts as a failure only
+   if the next call, made at once, fails as well. It lists the objects again when the store no longer keeps
+   the changes since that revision or has been restored from a backup, and from time to time after a list that
+   could not be read to its end.
 */
 class object_follower {
 public:
@@ -81,6 +87,7 @@
     void run();
     void follow_once();
     core::result<followed_batch> read_next(const follower_pace& pace);
+    bool was_cut(const core::error& failure, core::steady_time now) const;
     core::result<followed_batch> list_again(const platform::store_position& known);
     void prepare_list(const follower_pace& pace);
     void wait_before_retry(const follower_pace& pace);
@@ -93,6 +100,9 @@
     bool must_list = false;
     bool may_list_at_once = true; ///< Whether a watch has succeeded since the history was last gone.
     bool must_confirm = true;     ///< Whether the next watch returns at once.
+    core::steady_time asked_at;   ///< Start of the last call.
+    /** When the object API ends the last watch at the latest; empty if the last call did not wait. */
+    std::optional<core::steady_time> watch_until;
     std::optional<platform::store_position> received_position; ///< Of the last batch.
     core::steady_time list_again_at; ///< Earliest time at which a partial list is tried again.
     std::chrono::milliseconds next_retry_delay;
--- a/modules/gateway/control/upstream_tracker.cpp
+++ b/modules/gateway/control/upstream_tracker.cpp
@@ -24,6 +24,7 @@
     if (received.is_after_restore) {
         this->doubt_until = now + rewriting_time;
         this->departed.record_restore();
+        this->hold_removals(now); // The copy may lack what the upstreams registered since.
     }
     if (!this->is_connected) {
         this->set_connected(received.connected_since.value_or(now));
--- a/modules/gateway/relay/relay_subscription.cpp
+++ b/modules/gateway/relay/relay_subscription.cpp
@@ -110,6 +110,7 @@
         }
         const store_contact contact{.answered_at = now - status->age,
                                     .connected_since = now - status->connected};
+        this->options.on_contact(kind, contact);
         if (reply.news[kind]) {
             followed_batch batch = *reply.news[kind];
             batch.connected_since = contact.connected_since;
@@ -125,7 +126,6 @@
                                           .connected_since = contact.connected_since,
                                           .source = relay.id});
         }
-        this->options.on_contact(kind, contact);
     }
 }
 
--- a/modules/gateway/relay/relay_subscription.h
+++ b/modules/gateway/relay/relay_subscription.h
@@ -26,11 +26,11 @@
         send;
     /** Returns the poll to send, without its wait. */
     std::function<relay_poll()> make_poll;
-    /** Takes over a batch that a relay has sent. */
+    /** Takes over a batch that a relay has sent, after the contact of the same reply. */
     std::function<void(feed_kind kind, const followed_batch& batch)> on_batch;
     /** Receives the ids of nodes that are in contact with the object API. */
     std::function<void(const std::vector<std::string>& nodes)> on_in_contact;
-    /** Receives the relay's contact with the object API, after the batch of the same reply. */
+    /** Receives the relay's contact with the object API. */
     std::function<void(feed_kind kind, const store_contact& contact)> on_contact;
     core::clock time = {};
 };
--- a/tests/gateway/object_follower_test.cpp
+++ b/tests/gateway/object_follower_test.cpp
@@ -12,10 +12,18 @@
 using namespace samphireway;
 using namespace std::chrono_literals;
 
-/** Runs a follower whose calls fail where `answers` says so. Returns the waits of its watch calls. */
-std::vector<std::chrono::milliseconds> waits_of_calls(const std::vector<bool>& answers)
+/** What a follower did. */
+struct follower_events {
+    std::vector<std::chrono::milliseconds> waits; ///< Of its watch calls.
+    int cuts = 0;                                 ///< Watches that counted as cut off.
+    int failures = 0;                             ///< Calls that counted as failed.
+};
+
+/** Runs a follower whose calls fail where `answers` says so. */
+follower_events events_of_calls(const std::vector<bool>& answers)
 {
-    std::vector<std::chrono::milliseconds> waits;
+    follower_events seen;
+    std::vector<std::chrono::milliseconds>& waits = seen.waits;
     std::mutex mutex;
     std::condition_variable changed;
     platform::object_store store;
@@ -38,8 +46,10 @@
          .known_position = [] { return platform::store_position{.revision = 1}; },
          .pace = [] { return gateway::follower_pace{.watch_wait = 60s}; },
          .on_batch = [](const gateway::followed_batch&) {},
+         .on_cut = [&seen](core::steady_time, core::steady_time) { ++seen.cuts; },
          .on_failure =
-             [](const core::error&) {
+             [&seen](const core::error&) {
+                 ++seen.failures;
              }});
     follower.start();
     {
@@ -49,7 +59,7 @@
     follower.stop();
     const std::lock_guard lock(mutex);
     waits.resize(std::min(waits.size(), answers.size()));
-    return waits;
+    return seen;
 }
 
 /** Runs a follower for a time against a store that does not keep the history of any revision. Returns the
@@ -137,7 +147,8 @@
 // were then held as after an outage, and a leaving upstream got requests for too long.
 Test(object_follower, first_call_after_a_failure_returns_at_once)
 {
-    const std::vector<std::chrono::milliseconds> waits = waits_of_calls({true, true, false, true, true});
+    const std::vector<std::chrono::milliseconds> waits =
+        events_of_calls({true, true, false, true, true}).waits;
     cr_assert_eq(waits.size(), 5U);
     cr_assert_lt(waits[0], 1s);
     cr_assert_gt(waits[1], 30s);
@@ -154,3 +165,48 @@
     const gateway::follower_options follower;
     cr_assert_leq((calls.watch_wait + calls.call_timeout + follower.initial_retry_delay).count(), 3000);
 }
+
+// Guards against a lost contact that is reported for each watch which the store cuts off while it waits.
+Test(object_follower, cut_watch_is_no_failure)
+{
+    const follower_events seen = events_of_calls({true, false, true, false, true, true});
+    cr_assert_eq(seen.cuts, 2);
+    cr_assert_eq(seen.failures, 0);
+}
+
+// Guards against an outage that goes unnoticed: the call after a cut watch fails as well.
+Test(object_follower, failed_call_after_a_cut_watch_is_a_failure)
+{
+    const follower_events seen = events_of_calls({true, false, false, true, true});
+    cr_assert_eq(seen.cuts, 1);
+    cr_assert_eq(seen.failures, 1);
+}
+
+// Guards against a store that is called without a pause, since it cuts off every watch at once.
+Test(object_follower, watches_that_are_cut_off_at_once_are_not_repeated_without_a_pause)
+{
+    std::atomic<int> calls{0};
+    platform::object_store store;
+    store.watch = [&calls](const std::string&, platform::object_version after,
+                           core::steady_time deadline) -> core::result<platform::watch_batch> {
+        ++calls;
+        if (deadline > std::chrono::steady_clock::now() + 1s) {
+            return core::failure(core::error_code::platform_unavailable, "cut off");
+        }
+        return platform::watch_batch{.revision = after, .changed = {}};
+    };
+    gateway::object_follower follower(
+        {.store = store,
+         .prefix = "x/",
+         .known_position = [] { return platform::store_position{.revision = 1}; },
+         .pace = [] { return gateway::follower_pace{.watch_wait = 60s}; },
+         .on_batch = [](const gateway::followed_batch&) {},
+         .on_failure =
+             [](const core::error&) {
+             }});
+    follower.start();
+    std::this_thread::sleep_for(1500ms);
+    follower.stop();
+    // Each pause of 200 ms follows a watch and a call that shows whether the API answers.
+    cr_assert_leq(calls, 18);
+}
--- a/tests/processes/returning_store.cpp
+++ b/tests/processes/returning_store.cpp
@@ -111,6 +111,18 @@
     this->is_away = false;
 }
 
+void returning_store::cut_watches(milliseconds least, milliseconds most)
+{
+    const std::lock_guard lock(this->mutex);
+    this->watch_limit.emplace(static_cast<int>(least.count()), static_cast<int>(most.count()));
+}
+
+int returning_store::count_cut()
+{
+    const std::lock_guard lock(this->mutex);
+    return this->cut;
+}
+
 void returning_store::stop()
 {
     {
@@ -148,7 +160,11 @@
         if (!this->is_reachable()) {
             return;
         }
-        const reply result = this->answer(*call);
+        const std::optional<reply> given = this->answer(*call);
+        if (!given) {
+            return;
+        }
+        const reply& result = *given;
         std::int64_t named_generation = 0;
         {
             const std::lock_guard lock(this->mutex);
@@ -171,7 +187,7 @@
     }
 }
 
-returning_store::reply returning_store::answer(const stage::request& call)
+std::optional<returning_store::reply> returning_store::answer(const stage::request& call)
 {
     const std::vector<std::string> path = split_path(call.target);
     if (call.method != "GET") {
@@ -196,12 +212,14 @@
     return list;
 }
 
-returning_store::reply returning_store::watch(const std::string& kind, std::int64_t after, milliseconds wait)
+std::optional<returning_store::reply> returning_store::watch(const std::string& kind, std::int64_t after,
+                                                             milliseconds wait)
 {
-    const auto deadline = stage::steady::now() + wait;
     std::unique_lock lock(this->mutex);
+    const milliseconds limit = this->watch_limit ? milliseconds((*this->watch_limit)(this->random)) : wait;
+    const auto deadline = stage::steady::now() + std::min(wait, limit);
     if (after > this->revision) {
-        return {.status = 410};
+        return reply{.status = 410};
     }
     reply result;
     result.body["events"] = Json::Value(Json::arrayValue);
@@ -219,6 +237,10 @@
             break;
         }
     }
+    if (result.body["events"].empty() && limit < wait) {
+        ++this->cut;
+        return std::nullopt;
+    }
     result.body["at"] = static_cast<Json::Int64>(this->revision);
     return result;
 }
--- a/tests/processes/returning_store.h
+++ b/tests/processes/returning_store.h
@@ -9,6 +9,8 @@
 #include <json/json.h>
 #include <map>
 #include <mutex>
+#include <optional>
+#include <random>
 #include <string>
 
 namespace samphireway::testing {
@@ -53,6 +55,12 @@
 
     void come_back();
 
+    /** Cuts off each watch that waits longer than a time drawn between these two. */
+    void cut_watches(std::chrono::milliseconds least, std::chrono::milliseconds most);
+
+    /** Returns the number of watches that were cut off. */
+    int count_cut();
+
     /** Ends waiting calls and closes all connections. */
     void stop();
 
@@ -76,8 +84,9 @@
 
     bool is_reachable();
     void serve(stage::channel& from);
-    reply answer(const stage::request& call);
-    reply watch(const std::string& kind, std::int64_t after, std::chrono::milliseconds wait);
+    /** Returns nothing if the connection is to be closed without an answer. */
+    std::optional<reply> answer(const stage::request& call);
+    std::optional<reply> watch(const std::string& kind, std::int64_t after, std::chrono::milliseconds wait);
     reply write(const stage::request& call, const std::vector<std::string>& path);
     Json::Value& store(const std::string& kind, const std::string& name, const char* member,
                        const Json::Value& value);
@@ -94,6 +103,9 @@
     kinds copied_objects;
     std::deque<event> copied_history;
     std::map<int, int> answered;
+    std::optional<std::uniform_int_distribution<int>> watch_limit; ///< In ms, once watches are cut off.
+    std::mt19937 random{1};
+    int cut = 0;
     stage::server front{[this](stage::channel& from) {
         this->serve(from);
     }};
