Keep what holders drew and used when the store comes back from a copy

Cause: a holder's end left no trace, so an entry that the copy lacks was taken for a closed one and the holder forgot its use. A write named its change, not its sums, and the ledger that others had read was dropped. Change: writes name sums and complete an entry; ends leave a trace; a ledger client joins what it knew with the ledger that came back; after a return nothing is drawn for 3.5 s, and as much is kept back for a holder that has not written since as it is known to hold.

--- a/modules/budget/control/budget_controller.cpp
+++ b/modules/budget/control/budget_controller.cpp
@@ -76,7 +76,8 @@
         const auto earlier = found->second.holders.find(item.holder);
         const bool is_already_applied =
             earlier != found->second.holders.end() && earlier->second.sequence >= item.update.sequence;
-        const escrow::holder_entry entry = escrow::apply_update(found->second, item.holder, item.update);
+        const escrow::holder_entry entry =
+            escrow::apply_update(found->second, item.holder, item.update, target.generation);
         if (is_already_applied || entry.is_closed) {
             continue;
         }
--- a/modules/budget/grants/grant_pool.cpp
+++ b/modules/budget/grants/grant_pool.cpp
@@ -19,6 +19,9 @@
 // The control thread collects updates every 100 ms; a gap of this length means that the process was
 // paused.
 constexpr std::chrono::seconds pause_detection_time{10};
+// Time in which every node that reaches the object API has noticed its restore and written its entries again:
+// a waiting call of two seconds, a retry and a write.
+constexpr milliseconds rewriting_time{3500};
 
 core::error exhausted(const std::string& plan)
 {
@@ -241,10 +244,16 @@
         }
         const auto entry = found->second.holders.find(item.holder);
         if (entry == found->second.holders.end()) {
-            // The entry was closed or folded, or removed by the final write of a planned stop.
-            holder.start_new_epoch();
+            if (found->second.has_ended(item.holder, written.generation)) {
+                // The entry was closed or folded, or removed by the final write of a planned stop.
+                holder.start_new_epoch();
+            }
+            else {
+                holder.abandon();
+            }
             continue;
         }
+        record_stored(*this->accounts.at(item.plan), update.started_at);
         holder.commit(entry->second);
         log_draw(item, entry->second, found->second);
     }
@@ -255,12 +264,21 @@
         const auto found = written.accounts.find(plan);
         this->change_and_notify(*account, [&, &name = plan](plan_account& target) {
             const account_summary before = target.last_summary;
-            target.observe(found == written.accounts.end() ? nullptr : &found->second, update.started_at);
+            target.observe(found == written.accounts.end() ? nullptr : &found->second, written.generation,
+                           update.started_at);
             log_existence(name, before, target.last_summary);
         });
     }
 }
 
+void grant_pool::record_stored(plan_account& account, core::steady_time written_at)
+{
+    const std::lock_guard lock(account.mutex);
+    if (account.must_write_since && written_at >= *account.must_write_since) {
+        account.must_write_since.reset();
+    }
+}
+
 void grant_pool::finish_update(const shard_update& update, const core::error& failure)
 {
     shard_state& state = this->shards[update.shard];
@@ -279,14 +297,21 @@
     }
 }
 
-void grant_pool::doubt_ledgers()
+void grant_pool::doubt_ledgers(core::steady_time now)
 {
     this->trusted_since = core::steady_time::max();
+    this->draws_from = now + rewriting_time;
+    const std::shared_lock lock(this->mutex);
+    for (const auto& [plan, account] : this->accounts) {
+        this->change_and_notify(*account, [now, until = this->draws_from.load()](plan_account& target) {
+            target.doubt_ledger(now, until);
+        });
+    }
 }
 
 void grant_pool::trust_ledgers(core::steady_time since)
 {
-    this->trusted_since = since;
+    this->trusted_since = std::max<core::steady_time>(since, this->draws_from);
 }
 
 void grant_pool::count_calls(std::uint64_t calls_made)
@@ -379,6 +404,7 @@
     std::unique_ptr<plan_account>& account = this->accounts[plan];
     if (!account) {
         account = std::make_unique<plan_account>(this->options.holder, this->options.draw);
+        account->draws_from = this->draws_from;
     }
     return *account;
 }
--- a/modules/budget/grants/grant_pool.h
+++ b/modules/budget/grants/grant_pool.h
@@ -148,10 +148,12 @@
     void finish_update(const shard_update& update, const core::error& failure);
 
     /**
-        Records that the ledgers were restored from a backup, which may lack deposits: until
-        `trust_ledgers` no account is known to be exhausted or missing.
+        Records that the ledgers were restored from a backup, which may lack deposits and what
+        holders have drawn and spent. Until `trust_ledgers` no account is known to be exhausted or
+        missing. This node writes its entries again, and draws nothing until the other holders have
+        had the time to do the same.
     */
-    void doubt_ledgers();
+    void doubt_ledgers(core::steady_time now);
 
     /** Records that ledgers read at a time or later hold all deposits. */
     void trust_ledgers(core::steady_time since);
@@ -188,6 +190,7 @@
     const plan_account* find_account(const std::string& plan) const;
     bool is_paused(core::steady_time now) const;
     void require_read_after_pause(core::steady_time now);
+    static void record_stored(plan_account& account, core::steady_time written_at);
     void change_and_notify(plan_account& account, const std::function<void(plan_account&)>& change);
     void record_event(budget_event_kind kind, const plan_account& account, const reservation& held,
                       escrow::amount sum) const;
@@ -201,6 +204,7 @@
     std::atomic<core::steady_time::rep> last_collected_at = 0;
     /** Start of the oldest ledger call whose outcome shows all deposits. */
     std::atomic<core::steady_time> trusted_since{core::steady_time::min()};
+    std::atomic<core::steady_time> draws_from{core::steady_time::min()}; ///< @see plan_account::draws_from
     std::atomic<std::uint64_t> last_reservation_number = 0;
 };
 
--- a/modules/budget/grants/plan_account.cpp
+++ b/modules/budget/grants/plan_account.cpp
@@ -27,12 +27,13 @@
 
 } // namespace
 
-account_summary summarize(const escrow::account& account, const std::string& holder)
+account_summary summarize(const escrow::account& account, const std::string& holder, std::uint64_t generation)
 {
     account_summary summary{.is_known = true, .exists = true, .is_removed = account.is_removed};
     summary.limit = account.limit();
     summary.spent = account.spent();
-    summary.outstanding = account.outstanding();
+    // What is kept back may still be found available, so it counts as unspent.
+    summary.outstanding = account.outstanding() + account.kept_back(generation);
     summary.available = summary.limit - summary.spent - summary.outstanding;
     summary.pending_reduction = account.pending_reduction();
     if (account.is_removed) {
@@ -126,12 +127,12 @@
         decision = draw_decision{.give_back = result.input.free, .is_urgent = true};
         result.is_final = committed.sequence > 0 && this->holder.reserved() == 0;
     }
-    if (this->last_summary.is_known && this->last_summary.available <= 0) {
+    if (now < this->draws_from || (this->last_summary.is_known && this->last_summary.available <= 0)) {
         decision.draw = 0;
     }
     const bool changes_need = (decision.wanted > 0) != (committed.wanted > 0);
     const bool changes_grant = decision.draw > 0 || decision.give_back > 0;
-    const bool is_unresolved = this->holder.has_write_in_flight();
+    const bool is_unresolved = this->holder.has_write_in_flight() || this->must_write_since.has_value();
     // An account that the ledger lacks cannot be written; only a read can show that it was added.
     const bool is_missing = this->last_summary.is_known && !this->last_summary.exists;
     result.has_change = !is_missing && (changes_grant || changes_need || result.is_final || is_unresolved ||
@@ -193,17 +194,29 @@
                : ledger_need::none;
 }
 
-void plan_account::observe(const escrow::account* account, core::steady_time requested_at)
+void plan_account::doubt_ledger(core::steady_time now, core::steady_time draw_from)
 {
-    const escrow::holder_entry committed = this->holder.committed_entry();
-    const std::string id = this->holder_id();
-    const bool has_entry = account != nullptr && account->holders.contains(id);
-    if (committed.sequence > 0 && !has_entry) {
-        // The entry was closed, so a write in flight cannot take effect either.
+    this->draws_from = draw_from;
+    if (this->holder.committed_entry().sequence > 0 || this->holder.has_write_in_flight()) {
+        this->must_write_since = now;
+    }
+    this->last_summary = {};
+}
+
+void plan_account::observe(const escrow::account* account, std::uint64_t generation,
+                           core::steady_time requested_at)
+{
+    const bool was_stored = this->holder.committed_entry().sequence > 0;
+    // An entry that is missing without an end was lost with a restore; the next write completes it.
+    const bool has_ended = account == nullptr ? generation == 0
+                                              : !account->holders.contains(this->holder_id()) &&
+                                                    account->has_ended(this->holder_id(), generation);
+    if (was_stored && has_ended) {
+        // A write in flight cannot take effect either.
         this->holder.start_new_epoch();
     }
-    this->last_summary =
-        account == nullptr ? account_summary{.is_known = true} : summarize(*account, this->holder_id());
+    this->last_summary = account == nullptr ? account_summary{.is_known = true}
+                                            : summarize(*account, this->holder_id(), generation);
     this->last_summary.others_wanted =
         account == nullptr ? 0 : this->sum_needs_of_others(*account, requested_at);
     this->last_summary.requested_at = requested_at;
--- a/modules/budget/grants/plan_account.h
+++ b/modules/budget/grants/plan_account.h
@@ -48,7 +48,8 @@
     Returns the summary of an account from the view of one of its holders. Leaves `others_wanted` at
     zero.
 */
-account_summary summarize(const escrow::account& account, const std::string& holder);
+account_summary summarize(const escrow::account& account, const std::string& holder,
+                          std::uint64_t generation = 0);
 
 /**
     One plan at one node: its grant, its waiting requests and the time of its next ledger write.
@@ -85,7 +86,10 @@
         Stores the state of the account as read from or written to the ledger; null when the ledger
         has no such account.
     */
-    void observe(const escrow::account* account, core::steady_time requested_at);
+    void observe(const escrow::account* account, std::uint64_t generation, core::steady_time requested_at);
+
+    /** Records a restore of the object API from a backup. @see draws_from */
+    void doubt_ledger(core::steady_time now, core::steady_time draw_from);
 
     /**
         Returns whether a ledger state from `since` or later shows that the unspent amount of the
@@ -111,6 +115,11 @@
         is reserved until the ledger has been read.
     */
     std::atomic<bool> must_read_ledger = false;
+    /** Until then nothing is drawn: after a restore of the object API the ledger may show too much as
+     * available, until the other holders have written again what they hold. */
+    core::steady_time draws_from;
+    /** Set after such a restore until a write that started later has shown the entry to be stored. */
+    std::optional<core::steady_time> must_write_since;
 
 private:
     struct evaluation {
--- a/modules/escrow/holder/grant_holder.cpp
+++ b/modules/escrow/holder/grant_holder.cpp
@@ -92,6 +92,8 @@
     const amount idle = std::max<amount>(0, this->free_locked());
     requested.draw = std::max<amount>(0, requested.draw);
     requested.give_back = std::clamp<amount>(requested.give_back, 0, idle);
+    requested.granted_before = this->committed.granted;
+    requested.returned_before = this->committed.returned;
     requested.spent_total = this->spent_locked();
     requested.sequence = this->committed.sequence + 1;
     requested.bills = std::move(this->unwritten_bills);
--- a/modules/escrow/ledger/account_changes.cpp
+++ b/modules/escrow/ledger/account_changes.cpp
@@ -57,10 +57,12 @@
 
 } // namespace
 
-holder_entry apply_update(account& target, const std::string& holder, const entry_update& update)
+holder_entry apply_update(account& target, const std::string& holder, const entry_update& update,
+                          std::uint64_t generation)
 {
-    const auto found = target.holders.find(holder);
-    if (found == target.holders.end() && (update.sequence > 1 || target.closures.contains(holder))) {
+    const bool is_first = update.sequence == 1 && !target.closures.contains(holder);
+    const bool has_ended = target.has_ended(holder, generation) && (generation != 0 || !is_first);
+    if (!target.holders.contains(holder) && has_ended) {
         return holder_entry{.sequence = update.sequence, .is_closed = true};
     }
     holder_entry& entry = target.holders[holder];
@@ -68,17 +70,23 @@
         return entry;
     }
     entry.spent = std::max(entry.spent, update.spent_total - record_bills(target, update));
-    entry.returned += update.give_back;
+    entry.granted = std::max(entry.granted, update.granted_before);
+    entry.returned = std::max(entry.returned, update.returned_before) + update.give_back;
     entry.sequence = update.sequence;
     entry.wanted = update.wanted;
     entry.demand_per_second = update.demand_per_second;
     entry.written_at_ms = update.written_at_ms;
+    entry.generation = generation;
     take_reductions(target);
-    const amount available = target.is_removed ? 0 : std::max<amount>(0, target.available());
+    const amount available =
+        target.is_removed ? 0 : std::max<amount>(0, target.available() - target.kept_back(generation));
     entry.granted += std::min(update.draw, available);
     const holder_entry result = entry;
     if (update.is_final && entry.in_doubt() == 0) {
         target.closed_spent += entry.spent;
+        if (generation != 0) {
+            target.ended[holder] = {.spent = entry.spent, .ended_at_ms = update.written_at_ms};
+        }
         target.holders.erase(holder);
     }
     return result;
@@ -100,7 +108,10 @@
         return core::failure(core::error_code::invalid_argument,
                              "charged: expected 0 to " + std::to_string(in_doubt));
     }
-    const closure closed{.charged = charged, .released = in_doubt - charged, .closed_at_ms = now_ms};
+    const closure closed{.charged = charged,
+                         .released = in_doubt - charged,
+                         .spent = found->second.spent,
+                         .closed_at_ms = now_ms};
     target.closed_spent += found->second.spent + charged;
     target.holders.erase(found);
     target.closures[holder] = closed;
@@ -132,11 +143,15 @@
     }
     std::erase_if(target.closures,
                   [&](const auto& entry) { return entry.second.closed_at_ms < oldest_kept; });
+    std::erase_if(target.ended, [&](const auto& entry) { return entry.second.ended_at_ms < oldest_kept; });
     std::erase_if(target.holders, [&](const auto& entry) {
         // A live holder whose empty entry was folded learns this from its next write and starts a new
         // entry.
         const bool is_empty = entry.second.in_doubt() == 0 && entry.second.written_at_ms < oldest_kept;
-        target.closed_spent += is_empty ? entry.second.spent : 0;
+        if (is_empty) {
+            target.closed_spent += entry.second.spent;
+            target.ended[entry.first] = {.spent = entry.second.spent, .ended_at_ms = now_ms};
+        }
         return is_empty;
     });
 }
@@ -189,6 +204,9 @@
         for (const auto& [id, closed] : entry.closures) {
             bytes += entry_bytes + id.size();
         }
+        for (const auto& [id, end] : entry.ended) {
+            bytes += entry_bytes + id.size();
+        }
         for (const auto& [id, reduced] : entry.reductions) {
             bytes += entry_bytes + id.size();
         }
--- a/modules/escrow/ledger/account_changes.h
+++ b/modules/escrow/ledger/account_changes.h
@@ -14,9 +14,11 @@
 
 /** The changes that a holder requests in its next ledger write. @see grant_holder::prepare */
 struct entry_update {
-    amount draw = 0;        ///< Additional grant requested; the write grants at most what is available.
-    amount give_back = 0;   ///< Part of the free grant that is returned.
-    amount spent_total = 0; ///< Cumulative spend to settle, including uses of duplicate request ids.
+    amount draw = 0;            ///< Additional grant requested; the write grants at most what is available.
+    amount give_back = 0;       ///< Part of the free grant that is returned.
+    amount granted_before = 0;  ///< Sum of the earlier grants that the holder knows to have.
+    amount returned_before = 0; ///< Sum of what it knows to have given back.
+    amount spent_total = 0;     ///< Cumulative spend to settle, including uses of duplicate request ids.
     std::uint64_t sequence = 0;
     amount wanted = 0;              ///< Unmet need of waiting requests, shown to other holders.
     amount demand_per_second = 0;   ///< Recent use in tokens per second, shown to other holders.
@@ -65,11 +67,17 @@
 /**
     Applies a holder's update to an account and returns the resulting entry.
 
+    The update names the sums of what the holder was granted and gave back before, so that it completes an
+    entry that the ledger has lost, or has as of an earlier write, after a restore of the object API.
+
+    `generation` is that of the object API, or zero if it names none.
+
     An update whose sequence the entry already shows is not applied again. The grant is limited to
     what is available. A use whose request id is already billed is not billed again. An update of a
-    holder whose entry was closed changes nothing and returns an entry with `is_closed`.
+    holder whose entry was closed or has ended changes nothing and returns an entry with `is_closed`.
 */
-holder_entry apply_update(account& target, const std::string& holder, const entry_update& update);
+holder_entry apply_update(account& target, const std::string& holder, const entry_update& update,
+                          std::uint64_t generation = 0);
 
 /**
     Closes a holder: counts `charged` of its outstanding grant as spent and makes the remainder
--- a/modules/escrow/ledger/ledger.cpp
+++ b/modules/escrow/ledger/ledger.cpp
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t hash_digits = 16;
+// The object API counts its generations from one; what is written in the first one was never restored.
+constexpr std::uint64_t first_generation = 1;
 
 core::error malformed(const std::string& what)
 {
@@ -67,7 +69,8 @@
                         .sequence = static_cast<std::uint64_t>(core::integer_member(json, "sequence")),
                         .wanted = core::integer_member(json, "wanted"),
                         .demand_per_second = core::integer_member(json, "demand"),
-                        .written_at_ms = core::integer_member(json, "written_at_ms")};
+                        .written_at_ms = core::integer_member(json, "written_at_ms"),
+                        .generation = static_cast<std::uint64_t>(core::integer_member(json, "generation"))};
 }
 
 Json::Value to_json(const holder_entry& entry)
@@ -80,6 +83,7 @@
     set_amount(json, "wanted", entry.wanted);
     set_amount(json, "demand", entry.demand_per_second);
     set_amount(json, "written_at_ms", entry.written_at_ms);
+    set_amount(json, "generation", static_cast<amount>(entry.generation));
     return json;
 }
 
@@ -113,9 +117,18 @@
     }
     const Json::Value& closures = json["closures"];
     for (auto entry = closures.begin(); entry != closures.end(); ++entry) {
-        parsed.closures[entry.name()] = {.charged = core::integer_member(*entry, "charged"),
-                                         .released = core::integer_member(*entry, "released"),
-                                         .closed_at_ms = core::integer_member(*entry, "closed_at_ms")};
+        closure& parsed_entry = parsed.closures[entry.name()];
+        parsed_entry = {.charged = core::integer_member(*entry, "charged"),
+                        .released = core::integer_member(*entry, "released"),
+                        .closed_at_ms = core::integer_member(*entry, "closed_at_ms")};
+        if (entry->isMember("spent")) {
+            parsed_entry.spent = core::integer_member(*entry, "spent");
+        }
+    }
+    const Json::Value& ended = json["ended"];
+    for (auto entry = ended.begin(); entry != ended.end(); ++entry) {
+        parsed.ended[entry.name()] = {.spent = core::integer_member(*entry, "spent"),
+                                      .ended_at_ms = core::integer_member(*entry, "ended_at_ms")};
     }
     return parsed;
 }
@@ -162,6 +175,14 @@
         closed["charged"] = static_cast<Json::Int64>(entry.charged);
         closed["released"] = static_cast<Json::Int64>(entry.released);
         closed["closed_at_ms"] = static_cast<Json::Int64>(entry.closed_at_ms);
+        if (entry.spent) {
+            closed["spent"] = static_cast<Json::Int64>(*entry.spent);
+        }
+    }
+    for (const auto& [id, entry] : value.ended) {
+        Json::Value& end = json["ended"][id];
+        end["spent"] = static_cast<Json::Int64>(entry.spent);
+        end["ended_at_ms"] = static_cast<Json::Int64>(entry.ended_at_ms);
     }
     if (!value.billed_requests.empty()) {
         json["requests"] = billed_requests_json(value);
@@ -207,6 +228,16 @@
     return this->limit() - this->spent() - this->outstanding();
 }
 
+amount account::kept_back(std::uint64_t generation) const noexcept
+{
+    amount sum = 0;
+    for (const auto& [id, entry] : this->holders) {
+        const bool has_written = generation <= first_generation || entry.generation >= generation;
+        sum += has_written ? 0 : entry.in_doubt();
+    }
+    return sum;
+}
+
 amount account::pending_reduction() const noexcept
 {
     amount sum = 0;
@@ -216,6 +247,12 @@
     return sum;
 }
 
+bool account::has_ended(const std::string& holder, std::uint64_t generation) const noexcept
+{
+    const bool is_missing = generation == 0 && !this->holders.contains(holder);
+    return is_missing || this->closures.contains(holder) || this->ended.contains(holder);
+}
+
 bool account::is_billed(std::uint64_t request_hash) const noexcept
 {
     return std::any_of(this->billed_requests.begin(), this->billed_requests.end(), [&](const auto& entry) {
@@ -232,6 +269,7 @@
     if (!json.isObject() || !json["accounts"].isObject()) {
         return tl::unexpected(malformed("lacks accounts"));
     }
+    parsed.generation = static_cast<std::uint64_t>(core::integer_member(json, "generation"));
     const Json::Value& accounts = json["accounts"];
     for (auto entry = accounts.begin(); entry != accounts.end(); ++entry) {
         core::result<account> value = account_from_json(*entry);
@@ -250,6 +288,9 @@
     for (const auto& [id, entry] : value.accounts) {
         accounts[id] = to_json(entry);
     }
+    if (value.generation != 0) {
+        json["generation"] = static_cast<Json::UInt64>(value.generation);
+    }
     return json;
 }
 
--- a/modules/escrow/ledger/ledger.h
+++ b/modules/escrow/ledger/ledger.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <json/json.h>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -29,7 +30,9 @@
     amount wanted = 0;              ///< Unmet need of the holder's waiting requests.
     amount demand_per_second = 0;   ///< Recent use at the holder; decides its share of the account.
     std::int64_t written_at_ms = 0; ///< Wall time of the holder's last write, for operators only.
-    bool is_closed = false;         ///< Not stored: the account has no such entry any more.
+    /** Generation of the object API in which the holder wrote last; zero if it named none. */
+    std::uint64_t generation = 0;
+    bool is_closed = false; ///< Not stored: the account has no such entry any more.
 
     /** Returns the amount that the holder may still spend. Negative if the ledger has lost a grant that was
      * spent, as after a restore of the object API from a backup. */
@@ -68,11 +71,18 @@
     @see close_holder
 */
 struct closure {
-    amount charged = 0;  ///< Counted as spent.
-    amount released = 0; ///< Became available again.
+    amount charged = 0;          ///< Counted as spent.
+    amount released = 0;         ///< Became available again.
+    std::optional<amount> spent; ///< Settled before; earlier builds do not store it.
     std::int64_t closed_at_ms = 0;
 };
 
+/** The end of a holder that has given back all its grants, or had none when its entry was folded. */
+struct holder_end {
+    amount spent = 0;
+    std::int64_t ended_at_ms = 0;
+};
+
 /**
     An amount that must not be exceeded, with the grants drawn from it.
 
@@ -87,6 +97,7 @@
     std::map<std::string, reduction> reductions;       ///< By reduction id.
     std::map<std::string, holder_entry> holders;       ///< By holder id.
     std::map<std::string, closure> closures;           ///< By holder id.
+    std::map<std::string, holder_end> ended;           ///< By holder id.
     /** Hashes of billed request ids, by billing time in ms, rounded down to the minute. */
     std::map<std::int64_t, std::vector<std::uint64_t>> billed_requests;
     amount closed_spent = 0;    ///< Spend of closed and folded holders, whose entries are removed.
@@ -105,9 +116,17 @@
     /** Returns the part of the limit that is neither spent nor outstanding. */
     amount available() const noexcept;
 
+    /** Returns the part of what is available that is kept back after a restore of the object API: a holder
+     * that has not written in the present generation may have drawn as much again as it is known to hold. */
+    amount kept_back(std::uint64_t generation) const noexcept;
+
     /** Returns the amount that reductions still have to take. */
     amount pending_reduction() const noexcept;
 
+    /** Returns whether a holder was closed or has ended, so that it never returns under its id. An API
+     * without generations loses nothing, so there an entry is missing only if it has ended. */
+    bool has_ended(const std::string& holder, std::uint64_t generation) const noexcept;
+
     /** Returns whether the account still lists a request id as billed. */
     bool is_billed(std::uint64_t request_hash) const noexcept;
 };
@@ -119,6 +138,8 @@
 */
 struct ledger {
     std::map<std::string, account> accounts;
+    /** Generation of the object API that the last writer knew; zero if none or unknown to it. */
+    std::uint64_t generation = 0;
 };
 
 /**
--- a/modules/escrow/ledger/ledger_client.cpp
+++ b/modules/escrow/ledger/ledger_client.cpp
@@ -1,5 +1,7 @@
 #include "escrow/ledger/ledger_client.h"
 
+#include "escrow/ledger/ledger_join.h"
+
 namespace samphireway::escrow {
 
 namespace {
@@ -24,10 +26,26 @@
     if (!parsed) {
         return tl::unexpected(parsed.error());
     }
-    this->set_latest(found ? found->version : 0, std::move(*parsed));
+    this->receive(found ? found->version : 0, reading->generation, std::move(*parsed));
     return {};
 }
 
+void ledger_client::receive(platform::object_version read_version, std::uint64_t read_generation,
+                            ledger value)
+{
+    const bool is_restored = this->generation != 0 && read_generation > this->generation;
+    const bool is_outdated = value.generation != 0 && value.generation < read_generation;
+    if (is_restored || is_outdated) {
+        if (!this->known_before) {
+            this->known_before.emplace();
+        }
+        join(*this->known_before, this->latest);
+    }
+    this->generation = std::max(this->generation, read_generation);
+    value.generation = this->generation;
+    this->set_latest(read_version, std::move(value));
+}
+
 void ledger_client::set_latest(platform::object_version read_version, ledger value)
 {
     this->version = read_version;
@@ -52,6 +70,9 @@
     if (!refreshed) {
         return tl::unexpected(refreshed.error());
     }
+    if (this->known_before) {
+        return this->update(store, [](ledger&) { return false; });
+    }
     return this->latest;
 }
 
@@ -67,8 +88,11 @@
             is_from_this_call = true;
         }
         ledger changed = this->latest;
-        if (!apply(changed)) {
+        const bool is_joined = this->known_before && join(changed, *this->known_before);
+        const bool is_changed = apply(changed);
+        if (!is_changed && !is_joined) {
             if (is_from_this_call) {
+                this->known_before.reset();
                 return changed;
             }
             // Other nodes may have written since; only a conditional write would have shown it.
@@ -85,6 +109,11 @@
             return tl::unexpected(this->with_unknown_write(outcome.error()));
         }
         if (outcome->applied) {
+            // A revision that was given out again meets the condition of a write from before a restore. What
+            // the write has replaced is brought back by its writers, who see an earlier generation in it.
+            this->generation = std::max(this->generation, outcome->generation);
+            changed.generation = this->generation;
+            this->known_before.reset();
             this->set_latest(outcome->version, changed);
             return changed;
         }
@@ -94,7 +123,7 @@
             if (!current) {
                 return tl::unexpected(this->with_unknown_write(current.error()));
             }
-            this->set_latest(outcome->current->version, std::move(*current));
+            this->receive(outcome->current->version, outcome->generation, std::move(*current));
             is_from_this_call = true;
         }
     }
--- a/modules/escrow/ledger/ledger_client.h
+++ b/modules/escrow/ledger/ledger_client.h
@@ -12,6 +12,9 @@
 /**
     Writes one ledger object by conditional update and keeps its latest known version.
 
+    After a restore of the object API from a backup, the latest known ledger is joined with the stored one
+    before anything else is written. A ledger whose last writer did not know of the restore is joined as well.
+
     A change is a function that modifies the ledger. After a conflict it is applied again to the
     current state, so it must recognise by sequences or ids what the ledger already contains.
 
@@ -46,6 +49,7 @@
 
 private:
     core::result<void> refresh(const platform::object_store& store);
+    void receive(platform::object_version read_version, std::uint64_t read_generation, ledger value);
 
     std::string key;
     void set_latest(platform::object_version read_version, ledger value);
@@ -55,6 +59,8 @@
     bool is_latest_valid = false;
     platform::object_version version = 0;
     ledger latest;
+    std::uint64_t generation = 0; ///< Of the object API that last answered; zero before the first answer.
+    std::optional<ledger> known_before; ///< What a restored object API may have lost.
     std::uint64_t call_count = 0;
 
     // Expected version of a write of unknown outcome. The platform may still apply that write late, so
--- a/modules/gateway/control/budget_supply.cpp
+++ b/modules/gateway/control/budget_supply.cpp
@@ -108,7 +108,7 @@
 
 void budget_supply::on_restore(core::steady_time now)
 {
-    this->account.doubt_ledgers();
+    this->account.doubt_ledgers(now);
     this->are_totals_stored = false;
     this->next_store_at = now;
     this->tick(now);
--- a/modules/gateway/control/generation_watch.cpp
+++ b/modules/gateway/control/generation_watch.cpp
@@ -1,9 +1,17 @@
 #include "gateway/control/generation_watch.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace samphireway::gateway {
 
+namespace {
+
+// The object API counts its generations from one.
+constexpr std::uint64_t first_generation = 1;
+
+} // namespace
+
 generation_watch::generation_watch(std::function<void(std::uint64_t generation)> on_restore)
     : notify(std::move(on_restore))
 {
@@ -38,7 +46,7 @@
     std::uint64_t known = this->latest;
     while (generation > known && !this->latest.compare_exchange_weak(known, generation)) {
     }
-    if (generation > known && known != 0) {
+    if (generation > std::max(known, first_generation)) {
         this->notify(generation);
     }
 }
--- a/modules/gateway/control/generation_watch.h
+++ b/modules/gateway/control/generation_watch.h
@@ -11,8 +11,9 @@
 /**
     Learns of a restore of the object API from whatever answer names its new generation first.
 
-    What a node has stored may be lost then, and what it has read may be out of date. The first generation
-    named is the one in which the node starts. Thread-safe.
+    What a node has stored may be lost then, and what it has read may be out of date. A node that starts
+   cannot know whether a higher generation than the first has begun just now, so it treats it as new.
+   Thread-safe.
 
     @see platform::store_position
 */
--- a/tests/support/budget_fleet.h
+++ b/tests/support/budget_fleet.h
@@ -36,6 +36,7 @@
         bool is_paused = false;
         bool is_cut = false;
         bool is_cut_after_write = false; ///< The next write takes effect, but its answer is lost.
+        std::uint64_t generation = 0;    ///< Of the store, as the last answer named it.
     };
 
     explicit budget_fleet(std::size_t count, escrow::amount minimum_draw = 2000)
@@ -121,6 +122,7 @@
             return;
         }
         target.grant_pool->settle(*found->held, found->wanted * percent / hundred, found->id);
+        this->delivered += found->wanted * percent / hundred;
         target.requests.erase(found);
         ++this->served;
     }
@@ -227,6 +229,7 @@
     std::set<std::string> lost_holders; ///< All crashed holders, without the suffix of an epoch.
     admin::budget_accounts accounts;
     std::size_t served = 0;
+    escrow::amount delivered = 0; ///< Sum of the uses of all settled requests.
     std::vector<core::error> refusals;
 
 private:
@@ -282,9 +285,29 @@
                 return this->store.hooks().put(key, value, expected);
             };
         }
+        const auto observed = [this, &target](auto call) {
+            return [this, &target, call = std::move(call)](const auto&... arguments) {
+                auto outcome = call(arguments...);
+                if (outcome) {
+                    this->observe_generation(target, outcome->generation);
+                }
+                return outcome;
+            };
+        };
+        hooks.get = observed(hooks.get);
+        hooks.put = observed(hooks.put);
         return hooks;
     }
 
+    void observe_generation(node& target, std::uint64_t generation)
+    {
+        if (generation > target.generation && target.generation != 0) {
+            target.grant_pool->doubt_ledgers(this->now);
+            target.grant_pool->trust_ledgers(this->now); // Tests deposit again what the store has lost.
+        }
+        target.generation = generation;
+    }
+
     std::size_t incarnations = 0;
 };
 
