Read-through: one place decides whether a lost entry may be created; comments reflowed

Cause: the condition of apply_update joined two rules in one expression, and two comments were broken by the formatter.

--- a/modules/escrow/escrow.h
+++ b/modules/escrow/escrow.h
@@ -9,3 +9,4 @@
 #include "escrow/ledger/account_changes.h"
 #include "escrow/ledger/ledger.h"
 #include "escrow/ledger/ledger_client.h"
+#include "escrow/ledger/ledger_join.h"
--- a/modules/escrow/ledger/account_changes.cpp
+++ b/modules/escrow/ledger/account_changes.cpp
@@ -55,14 +55,23 @@
     return duplicates;
 }
 
+/** Returns whether the first entry of a holder, or a lost one, may be created. */
+bool may_create_entry(const account& target, const std::string& holder, std::uint64_t sequence,
+                      std::uint64_t generation)
+{
+    if (generation == 0) {
+        // Nothing is lost there, so only a first write finds no entry.
+        return sequence == 1 && !target.closures.contains(holder);
+    }
+    return !target.has_ended(holder, generation);
+}
+
 } // namespace
 
 holder_entry apply_update(account& target, const std::string& holder, const entry_update& update,
                           std::uint64_t generation)
 {
-    const bool is_first = update.sequence == 1 && !target.closures.contains(holder);
-    const bool has_ended = target.has_ended(holder, generation) && (generation != 0 || !is_first);
-    if (!target.holders.contains(holder) && has_ended) {
+    if (!target.holders.contains(holder) && !may_create_entry(target, holder, update.sequence, generation)) {
         return holder_entry{.sequence = update.sequence, .is_closed = true};
     }
     holder_entry& entry = target.holders[holder];
--- a/modules/gateway/control/generation_watch.h
+++ b/modules/gateway/control/generation_watch.h
@@ -12,8 +12,8 @@
     Learns of a restore of the object API from whatever answer names its new generation first.
 
     What a node has stored may be lost then, and what it has read may be out of date. A node that starts
-   cannot know whether a higher generation than the first has begun just now, so it treats it as new.
-   Thread-safe.
+    cannot tell whether a higher generation than the first has just begun, so it takes it for a new one.
+    Thread-safe.
 
     @see platform::store_position
 */
--- a/modules/gateway/control/object_follower.h
+++ b/modules/gateway/control/object_follower.h
@@ -63,9 +63,9 @@
 
     A watch starts from the revision that the node knows, whoever it has it from. After a failed call the
     follower resumes from there. The object API may cut off a watch that waits; that counts as a failure only
-   if the next call, made at once, fails as well. It lists the objects again when the store no longer keeps
-   the changes since that revision or has been restored from a backup, and from time to time after a list that
-   could not be read to its end.
+    if the next call, made at once, fails as well. The follower lists the objects again when the store no
+    longer keeps the changes since that revision or has been restored from a backup, and from time to time
+    after a list that could not be read to its end.
 */
 class object_follower {
 public:
--- a/tests/processes/budget_drill.cpp
+++ b/tests/processes/budget_drill.cpp
@@ -1,5 +1,7 @@
 #include "processes/budget_drill.h"
 
+#include "processes/store_drill.h"
+
 #include <algorithm>
 #include <csignal>
 #include <stdexcept>
@@ -63,7 +65,8 @@
     this->nodes.push_back(std::make_unique<gateway_process>(
         gateway_process_options{.id = "node-" + std::to_string(this->nodes.size() + 1),
                                 .store_port = this->store.port(),
-                                .directory = this->directory.path}));
+                                .directory = this->directory.path,
+                                .program = program_of(static_cast<int>(this->nodes.size()))}));
 }
 
 budget_drill::~budget_drill()
--- a/tests/processes/store_drill.cpp
+++ b/tests/processes/store_drill.cpp
@@ -16,16 +16,14 @@
 constexpr std::chrono::milliseconds request_interval{25};
 constexpr int nodes_with_relay = 3;
 
-/** Returns the program of a node: for every second one another build, if a variable names it, so that a fleet
- * in the middle of an upgrade can be tested. The seed decides which ones. */
+} // namespace
+
 std::string program_of(int index)
 {
     const char* const other = std::getenv("SAMPHIREWAY_TEST_OTHER_PROGRAM");
     return other != nullptr && index % 2 == drill_seed() % 2 ? other : "";
 }
 
-} // namespace
-
 int drill_seed()
 {
     const char* const text = std::getenv("SAMPHIREWAY_TEST_SEED");
--- a/tests/processes/store_drill.h
+++ b/tests/processes/store_drill.h
@@ -14,6 +14,10 @@
 
 namespace samphireway::testing {
 
+/** Returns the program of a node: for every second one another build, if SAMPHIREWAY_TEST_OTHER_PROGRAM names
+ * it, so that a fleet in the middle of an upgrade can be tested. The seed decides which ones. */
+std::string program_of(int index);
+
 /** Returns the seed of this run; 1 unless SAMPHIREWAY_TEST_SEED names another. */
 int drill_seed();
 
