--- a/tests/budget/returning_ledger_test.cpp
+++ b/tests/budget/returning_ledger_test.cpp
@@ -177,6 +177,48 @@
     check_returns(4, 12, {.has_cuts = true});
 }
 
+// Guards against a draw of what another holder has used, before that one has written its entry again.
+Test(returning_ledger, nothing_is_drawn_until_others_have_written_again)
+{
+    budget_fleet fleet(2, 200);
+    (void)fleet.accounts.deposit(budget_fleet::plan, "first", 10'000);
+    fleet.send(1, 100, "");
+    fleet.run(500ms);
+    fleet.settle(1, 100);
+    fleet.run(2s);
+    fleet.store.copy();
+    fleet.send(0, 8000, "");
+    fleet.run(500ms);
+    fleet.settle(0, 100);
+    fleet.run(200ms);
+    cr_assert_eq(fleet.delivered, 8100);
+    fleet.store.return_from_copy();
+    fleet.nodes[0].is_cut = true;
+    fleet.send(1, 5000, "");
+    fleet.run(1s);
+    fleet.nodes[0].is_cut = false;
+    fleet.run(5s);
+    fleet.send(1, 5000, "");
+    fleet.run(2s);
+    fleet.settle(1, 100);
+    fleet.settle(1, 100);
+    cr_assert_leq(fleet.delivered, 10'000, "%ld delivered", fleet.delivered);
+}
+
+// Guards against an entry that is written again without what its holder had drawn and given back before.
+Test(returning_ledger, lost_entry_is_completed_by_the_sums_of_its_holder)
+{
+    escrow::account account;
+    account.deposits["d"] = 1000;
+    const escrow::holder_entry entry = escrow::apply_update(
+        account, "a",
+        {.draw = 100, .granted_before = 300, .returned_before = 50, .spent_total = 200, .sequence = 7}, 2);
+    cr_assert(!entry.is_closed);
+    cr_assert_eq(entry.granted, 400);
+    cr_assert_eq(entry.returned, 50);
+    cr_assert_eq(account.available(), 650);
+}
+
 // Guards against the end of a holder that is undone, or counted twice, by an older state of its account.
 Test(returning_ledger, ended_holders_stay_ended_and_count_once)
 {
